--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,111 @@
+//! What goes into the decision module's calls and what comes out of them.
+
+use crate::clock::{Point, Span};
+use std::collections::BTreeMap;
+
+/// One value of the settings that a controller is handed at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+/// The settings: plain names to values, lists spelled out as `lanes.0.gain`, `lanes.1.gain` and so on.
+pub type Sheet = BTreeMap<String, Value>;
+
+/// A viewer's wish, as it is taken or handed over.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    pub id: u32,
+    pub lane: &'a str,
+    pub tenant: &'a str,
+    pub title: &'a str,
+    pub cut_off: Point,
+    /// First of the cells that hold the title, and how many in a row do.
+    pub home: usize,
+    pub copies: usize,
+    /// Highest rung that the viewer can use.
+    pub top: usize,
+    /// The viewer comes again, so this traffic was counted before.
+    pub returned: bool,
+    /// A guess of how long the viewer stays.
+    pub length: Option<Span>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of streamers.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub streamer: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: usize,
+    pub stage: Stage,
+    pub weight: f64,
+    /// Its last start; none when that is long ago.
+    pub started: Option<Point>,
+}
+
+/// How a shot, or the stream that came of it, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Served,
+    Errored,
+    SentBack,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    NotSent,
+    Unknown,
+}
+
+/// What a streamer said of its load; a part that it does not report is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub streams: Option<f64>,
+    /// Share of its link that is asked for.
+    pub link: Option<f64>,
+    /// The same of its rack's uplink.
+    pub rack: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shot {
+    pub id: u32,
+    pub streamer: String,
+    pub within: Span,
+}
+
+/// What the caller has to do after a call, list by list in this order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Results {
+    /// Rungs to set, by subscription.
+    pub rungs: Vec<(u32, usize)>,
+    pub shots: Vec<Shot>,
+    /// Subscriptions turned back, with the time after which the viewer should come again.
+    pub turned_back: Vec<(u32, Option<Span>)>,
+    pub scrapped: Vec<u32>,
+    /// Playing subscriptions to end here; they come back to this controller as new wishes.
+    pub moved: Vec<u32>,
+    /// The moment at which `wake` wants to be called.
+    pub wake: Option<Point>,
+}
+
+impl Results {
+    pub fn clear(&mut self) {
+        self.rungs.clear();
+        self.shots.clear();
+        self.turned_back.clear();
+        self.scrapped.clear();
+        self.moved.clear();
+        self.wake = None;
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! lemontide: places video subscriptions on media servers and shapes their quality.
+//! `control` holds every decision; `interface` the types of its calls; `clock` and `chance` what it
+//! knows of time and luck.
+
+pub mod chance;
+pub mod clock;
+pub mod control;
+pub mod interface;
