Cap rungs by a price of link from the own account; told uplink news lapses

Now the start and the climb stop at the rung whose step earns the fleet's price per kB. Could harm: a price too high leaves links empty; it follows the notes within seconds.

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -227,26 +227,8 @@
                     }
                     (_, 1) => handle.short(controller, now, news.level),
                     (_, 2) => handle.at_rung(controller, news.level.max(0.0) as usize),
-                    (_, 3) => {
-                        handle.load(
-                            controller,
-                            now,
-                            Load {
-                                link: Some(news.level),
-                                ..Load::default()
-                            },
-                        );
-                    }
-                    (_, 4) => {
-                        handle.load(
-                            controller,
-                            now,
-                            Load {
-                                rack: Some(news.level),
-                                ..Load::default()
-                            },
-                        );
-                    }
+                    (_, 3) => handle.load(controller, now, Load::link(news.level)),
+                    (_, 4) => handle.load(controller, now, Load::rack(news.level)),
                     _ => {}
                 }
             }
--- a/src/control.rs
+++ b/src/control.rs
@@ -20,10 +20,10 @@
 /// Fullness from which playing subscriptions step down; up to here nobody gets less than nearly all.
 const PRESSED: f64 = 0.98;
 /// Random quiet wait of a subscription before it climbs, in seconds, and the least time between climbs.
-const QUIET: (f64, f64) = (2.0, 4.0);
-const CLIMB_GAP: Span = Span::of_millis(4_000);
+const QUIET: (f64, f64) = (6.0, 12.0);
+const CLIMB_GAP: Span = Span::of_millis(12_000);
 /// A step that makes way must earn this much less for its link than the step that takes it.
-const YIELD_EDGE: f64 = 1.3;
+const YIELD_EDGE: f64 = 2.5;
 /// How old the news in an answer is taken to be when it arrives.
 const ANSWER_AGE: Span = Span::of_millis(400);
 /// Sequential test of a streamer: log odds added by an ending, and where doubt and condemnation begin.
@@ -34,6 +34,9 @@
 /// Doubt fades by this much a second, so that a streamer is tried again with care.
 const FADE: f64 = 0.15;
 const BEAT: Span = Span::of_millis(250);
+/// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
+const STALE: f64 = 12.0;
+const SMOOTH: f64 = 0.2;
 
 /// Stands for one subscription in hand; a stale one finds nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,7 +97,6 @@
     /// Fullness of link and rack as last told, and the moment that this speaks of.
     full: f64,
     told: Option<Point>,
-    rack_full: Option<f64>,
     inflight: Option<(f64, Point)>,
     /// Own changes of rate since the moment told.
     ledger: VecDeque<(Point, f64)>,
@@ -144,6 +146,8 @@
     ladder: Ladder,
     lanes: Vec<Lane>,
     streamers: Vec<Streamer>,
+    /// What was last told of each rack's uplink, and the moment that this speaks of.
+    racks: Vec<Option<(f64, Point)>>,
     by_name: HashMap<String, usize>,
     titles: Vec<Title>,
     by_title: HashMap<String, usize>,
@@ -154,6 +158,10 @@
     further: VecDeque<Point>,
     chance: Chance,
     wake_at: Point,
+    /// The fleet's mean fullness, and the gain per kB that a step must earn, as far as is known.
+    mean_full: f64,
+    price: Option<f64>,
+    steps: Vec<(f64, f64)>,
     pub results: Results,
 }
 
@@ -248,6 +256,7 @@
                 .collect(),
         };
         Controller {
+            racks: vec![None; rules.racks],
             rules,
             ladder,
             lanes: lanes.collect(),
@@ -262,6 +271,9 @@
             further: VecDeque::with_capacity(64),
             chance: Chance::from_seed(seed),
             wake_at: now,
+            mean_full: 0.0,
+            price: None,
+            steps: Vec::with_capacity(512),
             results: Results::default(),
         }
     }
@@ -380,8 +392,9 @@
 
     /// The ordinary path of a subscription, from top to bottom.
     fn place(&mut self, now: Point, place: usize) {
+        let top = self.fair_rung(place);
         let held = &self.held[place];
-        let (lane, title, floor, top) = (held.lane, held.title, held.floor, held.top);
+        let (lane, title, floor) = (held.lane, held.title, held.floor);
         if self.lanes[lane].seats > 0 {
             let seated = self
                 .held
@@ -545,14 +558,73 @@
         held.gain * (self.ladder.gain[rung] - self.ladder.gain[rung - 1]) / kb.max(1e-9)
     }
 
-    /// Fullness of a link as told, with own changes since; unheard of, as the own load suggests.
-    fn fullness(&self, at: usize) -> f64 {
+    /// Fullness of a link as told, with own changes since; what was never told, or long ago, counts more
+    /// and more as the fleet's mean. Symptom: a silent or new link that looks empty draws everything.
+    fn fullness(&self, now: Point, at: usize) -> f64 {
         let streamer = &self.streamers[at];
-        let link = streamer.link_kb.max(1e-9);
-        match streamer.told {
-            Some(_) => streamer.full + streamer.ledger.iter().map(|c| c.1).sum::<f64>() / link,
-            None => self.own_kb(at) / link,
+        let own = streamer.ledger.iter().map(|c| c.1).sum::<f64>() / streamer.link_kb.max(1e-9);
+        let Some(told) = streamer.told else {
+            return self.mean_full.max(0.0) + own.max(0.0);
+        };
+        let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
+        streamer.full + own + stale * (self.mean_full - streamer.full).max(0.0)
+    }
+
+    /// Looks over the own part of the fleet: its mean fullness, and the gain per kB that its links are worth
+    /// when the own subscriptions are filled up, best steps first, to what the fleet leaves them.
+    fn appraise(&mut self, now: Point) {
+        let own: f64 = (0..self.streamers.len()).map(|at| self.own_kb(at)).sum();
+        let (mut links, mut asked, mut heard) = (0.0, 0.0, 0.0);
+        for streamer in self.streamers.iter().filter(|s| s.ready) {
+            links += streamer.link_kb;
+            if streamer.told.is_some_and(|t| (now - t).seconds() < STALE) {
+                heard += streamer.link_kb;
+                asked += streamer.full * streamer.link_kb + streamer.ledger.iter().map(|c| c.1).sum::<f64>();
+            }
+        }
+        let racks = self.rules.rack_kb * self.rules.racks as f64;
+        let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
+        // Little was told yet: the others are taken to hold as much as this controller does.
+        let guess = own * self.rules.controllers as f64 / capacity;
+        let trust = (heard / links.max(1e-9) * 2.0).min(1.0);
+        let told = if heard > 0.0 {
+            asked / heard * (links / capacity).max(1.0)
+        } else {
+            0.0
+        };
+        let full = trust * told + (1.0 - trust) * guess;
+        self.mean_full = full * capacity / links.max(1e-9);
+        if own <= 0.0 || full <= 0.0 {
+            return;
+        }
+        let mut left = own * (FILL / full).clamp(0.4, 4.0);
+        let mut steps = std::mem::take(&mut self.steps);
+        steps.clear();
+        for (place, held) in self.held.iter().filter(|(_, s)| s.seated()) {
+            left -= self.rate(held.lane, held.floor);
+            for rung in held.floor + 1..=held.top {
+                let kb = self.rate(held.lane, rung) - self.rate(held.lane, rung - 1);
+                steps.push((self.density(place, rung), kb));
+            }
         }
+        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let price = steps.iter().find(|(_, kb)| {
+            left -= kb;
+            left < 0.0
+        });
+        let price = price.map_or(0.0, |step| step.0);
+        self.price = Some(self.price.map_or(price, |old| old + SMOOTH * (price - old)));
+        self.steps = steps;
+    }
+
+    /// The highest rung whose every step is worth the fleet's price; with no account yet, the ladder's middle.
+    fn fair_rung(&self, place: usize) -> usize {
+        let held = &self.held[place];
+        let Some(price) = self.price else {
+            return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
+        };
+        let worth = (held.floor + 1..=held.top).take_while(|rung| self.density(place, *rung) >= price);
+        worth.last().unwrap_or(held.floor)
     }
 
     fn own_kb(&self, at: usize) -> f64 {
@@ -564,27 +636,24 @@
     fn room(&self, now: Point, at: usize, floor: bool) -> f64 {
         let streamer = &self.streamers[at];
         let fill = if floor { PRESSED } else { FILL };
-        let room = (fill * streamer.warmth(&self.rules, now) - self.fullness(at)) * streamer.link_kb;
-        room.min(self.rack_room(at, fill))
+        let room = (fill * streamer.warmth(&self.rules, now) - self.fullness(now, at)) * streamer.link_kb;
+        room.min(self.rack_room(now, at, fill))
     }
 
-    fn rack_room(&self, at: usize, fill: f64) -> f64 {
+    fn rack_room(&self, now: Point, at: usize, fill: f64) -> f64 {
         let rack = self.streamers[at].rack;
-        let latest = self
-            .streamers
-            .iter()
-            .filter(|s| s.rack == rack && s.rack_full.is_some());
-        let Some(latest) = latest.max_by_key(|s| s.told) else {
+        // What was told of an uplink lapses: a rack that nobody uses any more tells nothing new.
+        let Some((full, told)) = self.racks[rack].filter(|(_, told)| (now - *told).seconds() < STALE / 2.0)
+        else {
             return f64::INFINITY;
         };
-        let since = latest.told.unwrap_or_default();
         let mates = self.streamers.iter().filter(|s| s.rack == rack);
         let own: f64 = mates
             .flat_map(|s| &s.ledger)
-            .filter(|c| c.0 > since)
+            .filter(|c| c.0 > told)
             .map(|c| c.1)
             .sum();
-        (fill - latest.rack_full.unwrap_or(0.0)) * self.rules.rack_kb - own
+        (fill - full) * self.rules.rack_kb - own
     }
 
     /// kB that own playing subscriptions at a streamer would give up, one rung each, below a price.
@@ -676,8 +745,8 @@
                 streamer.ledger.pop_front();
             }
         }
-        if let Some(rack) = load.rack {
-            streamer.rack_full = Some(rack.max(0.0));
+        if let Some(full) = load.rack {
+            self.racks[streamer.rack] = Some((full.max(0.0), of));
         }
         if let Some(streams) = load.streams {
             streamer.inflight = Some((streams, of));
@@ -688,12 +757,12 @@
     /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
     /// that everybody has to, cheapest first, so that all controllers together free just what is missing.
     fn relieve(&mut self, now: Point, at: usize) {
-        let full = self.fullness(at);
+        let full = self.fullness(now, at);
         if full > PRESSED {
             let missing = self.own_kb(at) * (1.0 - FILL / full);
             self.step_down(now, at, missing, f64::INFINITY);
         }
-        let rack = -self.rack_room(at, PRESSED);
+        let rack = -self.rack_room(now, at, PRESSED);
         if rack > 0.0 {
             let full = 1.0 + rack / self.rules.rack_kb.max(1e-9);
             let missing = self.own_kb(at) * (1.0 - FILL / full);
@@ -717,6 +786,16 @@
             self.taken.clear();
             self.further.clear();
         }
+        self.appraise(now);
+        for streamer in &mut self.streamers {
+            while streamer
+                .ledger
+                .front()
+                .is_some_and(|c| (now - c.0).seconds() > 2.0 * STALE)
+            {
+                streamer.ledger.pop_front();
+            }
+        }
         for at in 0..self.streamers.len() {
             self.climb(now, at);
         }
@@ -733,7 +812,8 @@
         let ready = self.held.iter().filter(|(_, s)| {
             s.state == State::Playing && s.streamer == at && s.rung < s.top && now >= s.climb_at
         });
-        let fits = ready.filter(|(_, s)| self.rate(s.lane, s.rung + 1) - self.rate(s.lane, s.rung) <= room);
+        let fair = ready.filter(|(place, s)| s.rung < self.fair_rung(*place));
+        let fits = fair.filter(|(_, s)| self.rate(s.lane, s.rung + 1) - self.rate(s.lane, s.rung) <= room);
         let best = fits.map(|(place, s)| (self.density(place, s.rung + 1), place));
         if let Some((_, place)) = best.max_by(|a, b| a.0.total_cmp(&b.0)) {
             let rung = self.held[place].rung + 1;
@@ -770,17 +850,14 @@
         let Some(held) = self.find(on) else { return };
         let at = held.streamer;
         let age = on.rules.note_age;
-        if share < PRESSED {
-            on.hear(
-                now,
-                at,
-                Load {
-                    link: Some(1.0 / share.max(0.3)),
-                    ..Load::default()
-                },
-                age,
-            );
+        if share >= PRESSED || at >= on.streamers.len() {
+            return;
         }
+        let full = 1.0 / share.max(0.3);
+        // A link that is told to have room and yet delivers short stands in a rack whose uplink is full.
+        let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
+        let load = if roomy { Load::rack(full) } else { Load::link(full) };
+        on.hear(now, at, load, age);
     }
 
     /// The streamer tells how full its link or its rack's uplink is.
@@ -876,7 +953,6 @@
             started: None,
             full: 0.0,
             told: None,
-            rack_full: None,
             inflight: None,
             ledger: VecDeque::with_capacity(16),
             odds: 0.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -77,6 +77,20 @@
     pub rack: Option<f64>,
 }
 
+impl Load {
+    pub fn link(full: f64) -> Load {
+        let mut load = Load::default();
+        load.link = Some(full);
+        load
+    }
+
+    pub fn rack(full: f64) -> Load {
+        let mut load = Load::default();
+        load.rack = Some(full);
+        load
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shot {
     pub id: u32,
