Step playing subscriptions down only above 1.10 of a link, fill links to 0.88

Cause: rates swing from second to second, so a single note over 0.98 is mostly noise, and each change costs.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,9 +16,9 @@
 /// A kept holder gives way only to a phi lower than its own by more than this part.
 const SWITCH_PART: f64 = 0.1;
 /// Part of a link that new set-ups and climbs may fill: true rates swing around the ladder's.
-const FILL: f64 = 0.92;
+const FILL: f64 = 0.88;
 /// Fullness from which playing subscriptions step down; up to here nobody gets less than nearly all.
-const PRESSED: f64 = 0.98;
+const PRESSED: f64 = 1.10;
 /// Random quiet wait of a subscription before it climbs, in seconds, and the least time between climbs.
 const QUIET: (f64, f64) = (6.0, 12.0);
 const CLIMB_GAP: Span = Span::of_millis(12_000);
