Own subscriptions no longer yield to new ones; shorter quiet waits; answers weigh half

Cause: every yield and its climb back is paid for; the waits of 10 to 20 s outlast many subscriptions.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,13 +17,13 @@
 const SWITCH_PART: f64 = 0.1;
 /// Part of a link that new set-ups and climbs may fill: true rates swing around the ladder's.
 const FILL: f64 = 0.88;
-/// Fullness from which playing subscriptions step down; up to here nobody gets less than nearly all.
+/// What may be filled at the lowest rung; delivery under this share is short.
+const BRIM: f64 = 0.98;
+/// Fullness from which playing subscriptions step down.
 const PRESSED: f64 = 1.10;
 /// Random quiet wait of a subscription before it climbs, in seconds, and the least time between climbs.
-const QUIET: (f64, f64) = (6.0, 12.0);
-const CLIMB_GAP: Span = Span::of_millis(12_000);
-/// A step that makes way must earn this much less for its link than the step that takes it.
-const YIELD_EDGE: f64 = 2.5;
+const QUIET: (f64, f64) = (3.0, 6.0);
+const CLIMB_GAP: Span = Span::of_millis(6_000);
 /// How old the news in an answer is taken to be when it arrives.
 const ANSWER_AGE: Span = Span::of_millis(400);
 /// Sequential test of a streamer: log odds added by an ending, and where doubt and condemnation begin.
@@ -410,30 +410,15 @@
         // Highest rung first; at each the kept holder, else the smallest phi.
         let mut choice = None;
         for rung in (floor..=top).rev() {
-            choice = self.holder(now, place, rung, false).map(|at| (at, rung));
+            choice = self.holder(now, place, rung).map(|at| (at, rung));
             if choice.is_some() {
                 break;
             }
         }
-        // Near-full links: room that own subscriptions of less gain per kB would give up counts as spare.
-        if choice.is_none_or(|(_, rung)| rung < top) {
-            let lowest = choice.map_or(floor, |(_, rung)| rung + 1);
-            for rung in (lowest..=top).rev() {
-                if let Some(at) = self.holder(now, place, rung, true) {
-                    choice = Some((at, rung));
-                    break;
-                }
-            }
-        }
         let Some((at, rung)) = choice else {
             return self.give_up(place);
         };
         let kb = self.rate(lane, rung);
-        let missing = kb - self.room(now, at, rung == floor);
-        if missing > 0.0 {
-            let price = self.density(place, rung);
-            self.step_down(now, at, missing, price / YIELD_EDGE);
-        }
         let within = self.patience(now, place);
         let streamer = &mut self.streamers[at];
         streamer.ledger.push_back((now, kb));
@@ -456,7 +441,7 @@
     }
 
     /// The kept holder of the title while it stands, else the one of smallest phi, with room at this rung.
-    fn holder(&mut self, now: Point, place: usize, rung: usize, yielding: bool) -> Option<usize> {
+    fn holder(&mut self, now: Point, place: usize, rung: usize) -> Option<usize> {
         let held = &self.held[place];
         let kept = self.titles[held.title].kept;
         let mut best: Option<(f64, usize)> = None;
@@ -466,7 +451,7 @@
                 if !self.may_send(now, place, at, careful) {
                     continue;
                 }
-                let a = self.capacity(now, place, at, rung, yielding);
+                let a = self.capacity(now, place, at, rung);
                 if a < 1.0 {
                     continue;
                 }
@@ -516,7 +501,7 @@
     }
 
     /// a(i) = min(k, n): free streams, and spare link and uplink in subscriptions at this rung.
-    fn capacity(&self, now: Point, place: usize, at: usize, rung: usize, yielding: bool) -> f64 {
+    fn capacity(&self, now: Point, place: usize, at: usize, rung: usize) -> f64 {
         let held = &self.held[place];
         let streamer = &self.streamers[at];
         let own = self
@@ -525,10 +510,7 @@
             .filter(|(_, s)| s.streamer == at && s.seated())
             .count() as f64;
         let k = streamer.streams - streamer.inflight.map_or(own, |(told, _)| told.max(own));
-        let mut room = self.room(now, at, rung == held.floor);
-        if yielding {
-            room += self.yieldable(now, at, self.density(place, rung) / YIELD_EDGE);
-        }
+        let room = self.room(now, at, rung == held.floor);
         k.min(room / self.rate(held.lane, rung))
     }
 
@@ -635,7 +617,7 @@
     /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
     fn room(&self, now: Point, at: usize, floor: bool) -> f64 {
         let streamer = &self.streamers[at];
-        let fill = if floor { PRESSED } else { FILL };
+        let fill = if floor { BRIM } else { FILL };
         let room = (fill * streamer.warmth(&self.rules, now) - self.fullness(now, at)) * streamer.link_kb;
         room.min(self.rack_room(now, at, fill))
     }
@@ -656,23 +638,11 @@
         (fill - full) * self.rules.rack_kb - own
     }
 
-    /// kB that own playing subscriptions at a streamer would give up, one rung each, below a price.
-    fn yieldable(&self, now: Point, at: usize, price: f64) -> f64 {
-        let own = self
-            .held
-            .iter()
-            .filter(|(place, s)| s.steady(at, now) && self.density(*place, s.rung) < price);
-        own.map(|(_, s)| self.rate(s.lane, s.rung) - self.rate(s.lane, s.rung - 1))
-            .sum()
-    }
-
     /// Steps own subscriptions at a streamer down one rung each, cheapest first, until so much is freed.
-    fn step_down(&mut self, now: Point, at: usize, mut missing: f64, price: f64) {
+    fn step_down(&mut self, now: Point, at: usize, mut missing: f64) {
         while missing > 0.0 {
             let own = self.held.iter().filter(|(_, s)| s.steady(at, now));
-            let priced = own
-                .map(|(place, s)| (self.density(place, s.rung), place))
-                .filter(|o| o.0 < price);
+            let priced = own.map(|(place, s)| (self.density(place, s.rung), place));
             let Some((_, place)) = priced.min_by(|a, b| a.0.total_cmp(&b.0)) else {
                 return;
             };
@@ -730,7 +700,7 @@
     }
 
     /// A streamer's news of its load.
-    fn hear(&mut self, now: Point, at: usize, load: Load, age: Span) {
+    fn hear(&mut self, now: Point, at: usize, load: Load, age: Span, noisy: bool) {
         let Some(streamer) = self.streamers.get_mut(at) else {
             return;
         };
@@ -739,7 +709,15 @@
             return;
         }
         if let Some(full) = load.link {
-            streamer.full = full.max(0.0);
+            // The figures of answers are noisier than notes: they move what is known only half way.
+            let own: f64 = streamer.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
+            let known = streamer.full + own / streamer.link_kb.max(1e-9);
+            let part = if noisy && streamer.told.is_some() {
+                0.5
+            } else {
+                1.0
+            };
+            streamer.full = (known + part * (full - known)).max(0.0);
             streamer.told = Some(of);
             while streamer.ledger.front().is_some_and(|c| c.0 <= of) {
                 streamer.ledger.pop_front();
@@ -760,13 +738,13 @@
         let full = self.fullness(now, at);
         if full > PRESSED {
             let missing = self.own_kb(at) * (1.0 - FILL / full);
-            self.step_down(now, at, missing, f64::INFINITY);
+            self.step_down(now, at, missing);
         }
         let rack = -self.rack_room(now, at, PRESSED);
         if rack > 0.0 {
             let full = 1.0 + rack / self.rules.rack_kb.max(1e-9);
             let missing = self.own_kb(at) * (1.0 - FILL / full);
-            self.step_down(now, at, missing, f64::INFINITY);
+            self.step_down(now, at, missing);
         }
     }
 
@@ -850,14 +828,14 @@
         let Some(held) = self.find(on) else { return };
         let at = held.streamer;
         let age = on.rules.note_age;
-        if share >= PRESSED || at >= on.streamers.len() {
+        if share >= BRIM || at >= on.streamers.len() {
             return;
         }
         let full = 1.0 / share.max(0.3);
         // A link that is told to have room and yet delivers short stands in a rack whose uplink is full.
         let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
         let load = if roomy { Load::rack(full) } else { Load::link(full) };
-        on.hear(now, at, load, age);
+        on.hear(now, at, load, age, false);
     }
 
     /// The streamer tells how full its link or its rack's uplink is.
@@ -865,7 +843,7 @@
         let Some(held) = self.find(on) else { return };
         let (at, set_up) = (held.streamer, now - held.changed < BEAT);
         let age = if set_up { Span::ZERO } else { on.rules.note_age };
-        on.hear(now, at, load, age);
+        on.hear(now, at, load, age, false);
     }
 
     /// A shot or its stream ended; `over` says that the subscription is finished with it.
@@ -889,7 +867,7 @@
                 _ => {}
             }
         }
-        on.hear(now, at, load, ANSWER_AGE);
+        on.hear(now, at, load, ANSWER_AGE, true);
         if over || dropped || played {
             on.held.remove(self.place);
             return;
