--- a/crates/lemontide-drill/src/main.rs
+++ b/crates/lemontide-drill/src/main.rs
@@ -15,14 +15,9 @@
         if line.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
-        let reply = hosts
-            .batch(&line)
-            .map_err(|e| format!("line {}: {e}", number + 1))?;
+        let reply = hosts.batch(&line).map_err(|e| format!("line {}: {e}", number + 1))?;
         serde_json::to_writer(&mut output, &reply).map_err(|e| format!("the reply can't be written: {e}"))?;
-        output
-            .write_all(b"\n")
-            .and_then(|()| output.flush())
-            .map_err(|e| format!("no output: {e}"))?;
+        output.write_all(b"\n").and_then(|()| output.flush()).map_err(|e| format!("no output: {e}"))?;
     }
     Ok(())
 }
--- a/crates/lemontide-drill/src/settings.rs
+++ b/crates/lemontide-drill/src/settings.rs
@@ -79,13 +79,7 @@
             }
         }
     }
-    for (i, row) in config
-        .get("classes")
-        .and_then(Json::as_array)
-        .into_iter()
-        .flatten()
-        .enumerate()
-    {
+    for (i, row) in config.get("classes").and_then(Json::as_array).into_iter().flatten().enumerate() {
         let repeat = match row.get("effect").and_then(Json::as_str) {
             Some("read_like") => "free",
             Some("idempotency_key") => "keyed",
--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -159,10 +159,7 @@
             }
             "Directory" => {
                 let directory: Directory = decode(name, body)?;
-                self.pages.insert(
-                    directory.page,
-                    directory.members.into_iter().map(Entry::line).collect(),
-                );
+                self.pages.insert(directory.page, directory.members.into_iter().map(Entry::line).collect());
                 return Ok(());
             }
             "CrashNow" => {
@@ -174,11 +171,7 @@
         let Some(host) = self.hosts.get_mut(&instance) else {
             return Ok(());
         };
-        let Host {
-            controller,
-            handles,
-            reports,
-        } = host;
+        let Host { controller, handles, reports } = host;
         match name {
             "Registry" => {
                 let registry: Registry = decode(name, body)?;
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -8,9 +8,7 @@
     pub fn from_seed(seed: u64) -> Self {
         // Neither zero nor the largest state may start the sequence: both stay where they are.
         let state = (seed ^ (seed >> 32)) & 0x7fff_ffff;
-        let mut chance = Chance {
-            state: (state | 1) << 31 | 0x2545_f491,
-        };
+        let mut chance = Chance { state: (state | 1) << 31 | 0x2545_f491 };
         for _ in 0..8 {
             chance.next();
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,34 +9,38 @@
 
 use crate::chance::Chance;
 use crate::clock::{Point, Span};
-use crate::interface::{Ending, Line, Load, Results, Sheet, Shot, Stage, Value, Wish};
+use crate::interface::{flag, number, row, text, Ending, Line, Load, Results, Sheet, Shot, Stage, Wish};
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 
 /// A kept holder gives way only to a phi lower than its own by more than this part.
 const SWITCH_PART: f64 = 0.1;
-/// Part of a link that new set-ups and climbs may fill: true rates swing around the ladder's.
+/// Part of a link that set-ups and climbs may fill: true rates swing around the ladder's.
 const FILL: f64 = 0.88;
-/// What may be filled at the lowest rung; delivery under this share is short.
+/// What set-ups at the lowest rung may fill; a share delivered under this is short.
 const BRIM: f64 = 0.98;
-/// Fullness from which playing subscriptions step down.
+/// Fullness from which playing subscriptions step down; lower figures are mostly noise.
 const PRESSED: f64 = 1.10;
-/// Random quiet wait of a subscription before it climbs, in seconds, and the least time between climbs.
+/// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
 const QUIET: (f64, f64) = (3.0, 6.0);
-const CLIMB_GAP: Span = Span::of_millis(6_000);
-/// How old the news in an answer is taken to be when it arrives.
+/// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
 const ANSWER_AGE: Span = Span::of_millis(400);
-/// Sequential test of a streamer: log odds added by an ending, and where doubt and condemnation begin.
+const ANSWER_PART: f64 = 0.5;
+/// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
+const STALE: f64 = 12.0;
+const SMOOTH: f64 = 0.2;
+/// Sequential test of a streamer: log odds that an outcome adds, and where doubt and condemnation begin.
 const GOOD: f64 = -1.0;
 const BAD: f64 = 2.5;
 const DOUBTED: f64 = 2.0;
 const CONDEMNED: f64 = 4.5;
-/// Doubt fades by this much a second, so that a streamer is tried again with care.
+/// Odds fade by this much a second, so that a streamer is tried again with care.
 const FADE: f64 = 0.15;
+/// Part of the latency goal that a shot may take where another can follow it.
+const SHOT_PART: f64 = 0.45;
+/// Seconds over which a tenant's rate of wishes is counted.
+const TENANT_SPAN: f64 = 8.0;
 const BEAT: Span = Span::of_millis(250);
-/// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
-const STALE: f64 = 12.0;
-const SMOOTH: f64 = 0.2;
 
 /// Stands for one subscription in hand; a stale one finds nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +49,7 @@
     serial: u64,
 }
 
+#[derive(Default)]
 struct Lane {
     name: String,
     gain: f64,
@@ -64,52 +69,45 @@
     gain: Vec<f64>,
 }
 
-/// What the operators allow and state at the start.
+struct Tenant {
+    name: String,
+    quota_per_s: f64,
+    /// First tries counted here, fading over `TENANT_SPAN`.
+    count: f64,
+    counted: Point,
+}
+
+/// What the operators state and allow, and the few figures of it that are read all the time.
 struct HouseRules {
-    me: i64,
-    controllers: i64,
+    sheet: Sheet,
+    controllers: f64,
     cells: usize,
-    racks: usize,
     rack_kb: f64,
-    kb_per_weight: f64,
-    note_age: Span,
-    note_every: Span,
     cold: Span,
     cold_from: f64,
-    fall_multiple: f64,
-    fall_window: Span,
-    ration: Option<(f64, f64, Span)>,
-    most_shots: u32,
-    retry_after: Option<Span>,
-    kinds: Vec<(String, f64)>,
 }
 
+#[derive(Default)]
 struct Streamer {
     name: String,
-    zone: usize,
     rack: usize,
     cell: usize,
     ready: bool,
     link_kb: f64,
-    streams: f64,
+    places: f64,
     /// Last start: from the list, or the moment at which this controller saw it break.
     started: Option<Point>,
-    /// Fullness of link and rack as last told, and the moment that this speaks of.
+    /// Fullness of the link as last told, and the moment that this speaks of.
     full: f64,
     told: Option<Point>,
-    inflight: Option<(f64, Point)>,
+    streams: Option<f64>,
     /// Own changes of rate since the moment told.
     ledger: VecDeque<(Point, f64)>,
     odds: f64,
     odds_at: Point,
     full_until: Point,
-    /// Own sends in the current cold turn.
-    turn: i64,
-    turn_sends: u32,
-}
-
-struct Title {
-    kept: Option<(usize, Point)>,
+    /// The last turn at this streamer while it was cold, and own sends in it.
+    turn: (i64, u32),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -117,8 +115,8 @@
     Waiting,
     SettingUp,
     Playing,
-    /// Answered or given up by the viewer while a shot is still out: it keeps its seat, no more.
-    Ended,
+    /// The viewer left while a shot is out: it keeps its seat, no more.
+    Left,
 }
 
 struct Subscription {
@@ -145,13 +143,14 @@
     rules: HouseRules,
     ladder: Ladder,
     lanes: Vec<Lane>,
+    tenants: Vec<Tenant>,
     streamers: Vec<Streamer>,
+    by_name: HashMap<String, usize>,
     /// What was last told of each rack's uplink, and the moment that this speaks of.
     racks: Vec<Option<(f64, Point)>>,
-    by_name: HashMap<String, usize>,
-    titles: Vec<Title>,
+    /// The kept holder of each title and when it was chosen.
+    titles: Vec<Option<(usize, Point)>>,
     by_title: HashMap<String, usize>,
-    zones: Vec<String>,
     held: Slab<Subscription>,
     serial: u64,
     taken: VecDeque<Point>,
@@ -165,106 +164,51 @@
     pub results: Results,
 }
 
-fn number(sheet: &Sheet, name: &str, fallback: f64) -> f64 {
-    match sheet.get(name) {
-        Some(Value::Number(n)) if n.is_finite() => *n,
-        _ => fallback,
-    }
-}
-
-fn text(sheet: &Sheet, name: &str) -> Option<String> {
-    match sheet.get(name) {
-        Some(Value::Text(t)) => Some(t.clone()),
-        _ => None,
-    }
-}
-
-fn flag(sheet: &Sheet, name: &str) -> bool {
-    sheet.get(name) == Some(&Value::Flag(true))
-}
-
-fn row(sheet: &Sheet, name: &str) -> Vec<f64> {
-    (0..)
-        .map_while(|i| {
-            sheet
-                .get(&format!("{name}.{i}"))
-                .map(|_| number(sheet, &format!("{name}.{i}"), 0.0))
-        })
-        .collect()
-}
-
-fn names(sheet: &Sheet, name: &str) -> Vec<String> {
-    (0..).map_while(|i| text(sheet, &format!("{name}.{i}"))).collect()
-}
-
 impl Controller {
     pub fn start(now: Point, seed: u64, sheet: &Sheet) -> Controller {
-        let mut ladder = Ladder {
-            kb: row(sheet, "ladder.kb"),
-            gain: row(sheet, "ladder.gain"),
-        };
+        let read = |name: &str, fallback: f64| number(sheet, name).unwrap_or(fallback);
+        let mut ladder = Ladder { kb: row(sheet, "ladder.kb"), gain: row(sheet, "ladder.gain") };
         if ladder.kb.is_empty() {
             ladder.kb.push(1.0);
         }
         ladder.gain.resize(ladder.kb.len(), 1.0);
-        let rungs = ladder.kb.len();
-        let lanes = (0..).map_while(|i| {
-            let of = |name: &str| format!("lanes.{i}.{name}");
-            let at = |name: &str, fallback| number(sheet, &format!("{name}.{i}"), fallback);
-            text(sheet, &of("name")).map(|name| Lane {
-                name,
-                gain: number(sheet, &of("gain"), 1.0),
-                goal: Span::of(number(sheet, &of("latency_goal"), 1.0)),
-                paid: text(sheet, &of("repeat")).is_some_and(|r| r != "free"),
-                floor: (at("lane_floor", 0.0) as usize).min(rungs - 1),
-                top: (at("lane_top", 1e6) as usize).min(rungs - 1),
-                scale: at("lane_scale", 1.0).max(0.01),
-                seats: at("lane_seats", 0.0) as usize,
-                live: flag(sheet, &format!("lane_live.{i}")),
-            })
-        });
-        let streams = row(sheet, "kind_streams");
-        let kinds = names(sheet, "kinds");
-        let longest = number(sheet, "retry_after.longest", 0.0);
+        let highest = ladder.kb.len() - 1;
+        let lane = |i: usize| {
+            let of = |what: &str, fallback| read(&format!("lanes.{i}.{what}"), fallback);
+            let mut lane = Lane::unnamed(text(sheet, &format!("lanes.{i}.name"))?, highest);
+            lane.gain = of("gain", 1.0);
+            lane.goal = Span::of(of("latency_goal", 1.0));
+            lane.paid = text(sheet, &format!("lanes.{i}.repeat")) != Some("free");
+            lane.floor = (read(&format!("lane_floor.{i}"), 0.0) as usize).min(highest);
+            lane.top = (read(&format!("lane_top.{i}"), 1e6) as usize).min(highest);
+            lane.scale = read(&format!("lane_scale.{i}"), 1.0).max(0.01);
+            lane.seats = read(&format!("lane_seats.{i}"), 0.0) as usize;
+            lane.live = flag(sheet, &format!("lane_live.{i}"));
+            Some(lane)
+        };
+        let tenant = |i: usize| {
+            let name = text(sheet, &format!("tenants.{i}.name"))?.to_owned();
+            let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
+            Some(Tenant { name, quota_per_s, count: 0.0, counted: now })
+        };
         let rules = HouseRules {
-            me: number(sheet, "me", 0.0) as i64,
-            controllers: number(sheet, "controllers", 1.0).max(1.0) as i64,
-            cells: number(sheet, "cells", 1.0).max(1.0) as usize,
-            racks: number(sheet, "rack.count", 1.0).max(1.0) as usize,
-            rack_kb: number(sheet, "rack.kb", 0.0),
-            kb_per_weight: number(sheet, "link.kb_per_weight", 0.0),
-            note_age: Span::of(number(sheet, "notes.age", 1.0)),
-            note_every: Span::of(number(sheet, "notes.every", 0.0)),
-            cold: Span::of(number(sheet, "cold.span", 0.0)),
-            cold_from: number(sheet, "cold.from", 1.0),
-            fall_multiple: number(sheet, "cold.multiple", 1.0),
-            fall_window: Span::of(number(sheet, "cold.window", 1.0)),
-            ration: sheet.contains_key("ration.share").then(|| {
-                let window = Span::of(number(sheet, "ration.window", 5.0));
-                (
-                    number(sheet, "ration.floor", 0.0),
-                    number(sheet, "ration.share", 0.0),
-                    window,
-                )
-            }),
-            most_shots: number(sheet, "shots.most", 1.0).max(1.0) as u32,
-            retry_after: (flag(sheet, "retry_after.allowed") && longest > 0.0).then(|| Span::of(longest)),
-            kinds: kinds
-                .into_iter()
-                .enumerate()
-                .map(|(i, k)| (k, *streams.get(i).unwrap_or(&30.0)))
-                .collect(),
+            sheet: sheet.clone(),
+            controllers: read("controllers", 1.0).max(1.0),
+            cells: read("cells", 1.0).max(1.0) as usize,
+            rack_kb: read("rack.kb", 0.0),
+            cold: Span::of(read("cold.span", 0.0)),
+            cold_from: read("cold.from", 1.0),
         };
         Controller {
-            racks: vec![None; rules.racks],
             rules,
             ladder,
-            lanes: lanes.collect(),
+            lanes: (0..).map_while(lane).collect(),
+            tenants: (0..).map_while(tenant).collect(),
             streamers: Vec::new(),
             by_name: HashMap::new(),
+            racks: vec![None; read("rack.count", 1.0).max(1.0) as usize],
             titles: Vec::new(),
             by_title: HashMap::new(),
-            zones: names(sheet, "zones"),
             held: Slab::with_capacity(256),
             serial: 0,
             taken: VecDeque::with_capacity(256),
@@ -284,33 +228,20 @@
             self.streamers.iter_mut().for_each(|s| s.ready = false);
         }
         for line in lines {
-            let place = match self.by_name.get(&line.streamer) {
-                Some(place) => *place,
-                None => {
-                    self.by_name.insert(line.streamer.clone(), self.streamers.len());
-                    self.streamers.push(Streamer::new(&line.streamer, now));
-                    self.streamers.len() - 1
-                }
-            };
-            let streams = self
-                .rules
-                .kinds
-                .iter()
-                .find(|(kind, _)| *kind == line.kind)
-                .map_or(30.0, |k| k.1);
-            let streamer = &mut self.streamers[place];
-            streamer.zone = self
-                .zones
-                .iter()
-                .position(|z| *z == line.zone)
-                .unwrap_or(usize::MAX);
+            let at = *self.by_name.entry(line.streamer.clone()).or_insert(self.streamers.len());
+            if at == self.streamers.len() {
+                self.streamers.push(Streamer::default());
+                self.streamers[at].name.clone_from(&line.streamer);
+            }
+            let places = self.rules.places(&line.kind);
+            let streamer = &mut self.streamers[at];
             streamer.cell = line.cell;
-            streamer.rack = line.cell % self.rules.racks;
+            streamer.rack = line.cell % self.racks.len();
             streamer.ready = line.stage == Stage::Ready;
-            streamer.link_kb = line.weight.max(0.01) * self.rules.kb_per_weight;
-            streamer.streams = streams;
+            streamer.link_kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
+            streamer.places = places;
             if line.started > streamer.started {
-                // A restart forgets what the streamer held and what it was suspected of.
+                // A new process holds nothing and is under doubt no more than half.
                 streamer.started = line.started;
                 streamer.odds = streamer.odds.min(DOUBTED / 2.0);
                 streamer.told = None;
@@ -326,30 +257,49 @@
         }
     }
 
-    fn enter(&mut self, now: Point, wish: &Wish) -> usize {
+    /// Takes a wish and answers it: with a shot, or with a turn-back.
+    pub fn take(&mut self, now: Point, wish: &Wish) -> Handle {
+        self.taken.push_back(now);
+        let handle = self.enter(now, wish);
+        self.place(now, handle.place);
+        handle
+    }
+
+    /// Takes over a subscription that plays already.
+    pub fn inherit(&mut self, now: Point, wish: &Wish, streamer: &str) -> Handle {
+        let handle = self.enter(now, wish);
+        let held = &mut self.held[handle.place];
+        held.streamer = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
+        (held.state, held.shots) = (State::Playing, 1);
+        handle
+    }
+
+    fn enter(&mut self, now: Point, wish: &Wish) -> Handle {
         let title = match self.by_title.get(wish.title) {
             Some(title) => *title,
             None => {
                 self.by_title.insert(wish.title.to_owned(), self.titles.len());
-                self.titles.push(Title { kept: None });
+                self.titles.push(None);
                 self.titles.len() - 1
             }
         };
-        if self.lanes.is_empty() || !self.lanes.iter().any(|l| l.name == wish.lane) {
-            // A lane that the settings never named is served with the strictest terms.
-            self.lanes
-                .push(Lane::unnamed(wish.lane, self.ladder.kb.len() - 1));
-        }
-        let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or(0);
+        let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or_else(|| {
+            // A lane that the settings never named is served on the strictest terms.
+            self.lanes.push(Lane::unnamed(wish.lane, self.ladder.kb.len() - 1));
+            self.lanes.len() - 1
+        });
+        // Traffic past a tenant's share earns little. Symptom: one tenant's crowd takes everybody's links.
+        let tenant = self.tenants.iter_mut().find(|t| t.name == wish.tenant);
+        let within = tenant.map_or(1.0, |t| t.within(now, !wish.returned, self.rules.controllers));
+        let past = (1.0 - within) * self.rules.number("over_share_gain", 1.0);
         let terms = &self.lanes[lane];
         self.serial += 1;
-        let quiet = Span::of(self.chance.between(QUIET.0, QUIET.1));
-        self.held.insert(Subscription {
+        let place = self.held.insert(Subscription {
             serial: self.serial,
             id: wish.id,
             lane,
             title,
-            gain: terms.gain,
+            gain: terms.gain * (within + past),
             home: wish.home,
             copies: wish.copies,
             floor: terms.floor,
@@ -360,106 +310,71 @@
             streamer: usize::MAX,
             shots: 0,
             may_have_run: false,
-            climb_at: now + quiet,
+            climb_at: now + Span::of(self.chance.between(QUIET.0, QUIET.1)),
             changed: now,
-        })
-    }
-
-    fn handle(&self, place: usize) -> Handle {
-        Handle {
-            place,
-            serial: self.held[place].serial,
-        }
-    }
-
-    /// Takes a wish and answers it: with a shot, or with a turn-back.
-    pub fn take(&mut self, now: Point, wish: &Wish) -> Handle {
-        let place = self.enter(now, wish);
-        self.taken.push_back(now);
-        let handle = self.handle(place);
-        self.place(now, place);
-        handle
-    }
-
-    /// Takes over a subscription that plays already.
-    pub fn inherit(&mut self, now: Point, wish: &Wish, streamer: &str) -> Handle {
-        let place = self.enter(now, wish);
-        let at = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
-        let held = &mut self.held[place];
-        (held.state, held.streamer, held.shots) = (State::Playing, at, 1);
-        self.handle(place)
+        });
+        Handle { place, serial: self.serial }
     }
 
     /// The ordinary path of a subscription, from top to bottom.
     fn place(&mut self, now: Point, place: usize) {
-        let top = self.fair_rung(place);
+        let fair = self.fair_rung(place);
         let held = &self.held[place];
-        let (lane, title, floor) = (held.lane, held.title, held.floor);
-        if self.lanes[lane].seats > 0 {
-            let seated = self
-                .held
-                .iter()
-                .filter(|(_, s)| s.title == title && s.lane == lane && s.seated());
-            if seated.count() >= self.lanes[lane].seats {
+        let (lane, floor) = (held.lane, held.floor);
+        let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
+        let terms = &self.lanes[lane];
+        if terms.seats > 0 {
+            let seated = |s: &Subscription| s.title == held.title && s.lane == lane && s.seated();
+            if self.held.iter().filter(|(_, s)| seated(s)).count() >= terms.seats {
                 return self.give_up(place);
             }
         }
-        if held.cut_off <= now || held.shots >= self.rules.most_shots || !self.within_ration(now, held) {
+        if now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots) {
             return self.give_up(place);
         }
-        // Highest rung first; at each the kept holder, else the smallest phi.
-        let mut choice = None;
-        for rung in (floor..=top).rev() {
-            choice = self.holder(now, place, rung).map(|at| (at, rung));
-            if choice.is_some() {
-                break;
-            }
+        // Past its tenant's share, and not even the lowest rung earns what its link is worth elsewhere.
+        if held.gain < terms.gain && self.price.is_some_and(|p| self.step(held, floor).1 < p) {
+            return self.give_up(place);
         }
+        // Highest rung first; at each the kept holder, else the smallest phi; lower rungs, then a turn-back.
+        let choice = (floor..=fair).rev().find_map(|rung| Some((self.holder(now, place, rung)?, rung)));
         let Some((at, rung)) = choice else {
             return self.give_up(place);
         };
+        self.titles[self.held[place].title] = Some((at, now));
         let kb = self.rate(lane, rung);
-        let within = self.patience(now, place);
         let streamer = &mut self.streamers[at];
         streamer.ledger.push_back((now, kb));
-        streamer.count_cold_send(&self.rules, now);
-        if let Some((streams, _)) = &mut streamer.inflight {
-            *streams += 1.0;
-        }
+        streamer.streams = streamer.streams.map(|n| n + 1.0);
+        streamer.count_turn(&self.rules, now);
         let held = &mut self.held[place];
         if held.shots > 0 {
             self.further.push_back(now);
         }
         held.shots += 1;
         (held.state, held.streamer, held.rung, held.changed) = (State::SettingUp, at, rung, now);
+        // A free lane's shot leaves time for another within the latency goal; a paid one has no other.
+        let mut within = held.cut_off - now;
+        if !self.lanes[lane].paid && held.shots < most {
+            within = within.min(self.lanes[lane].goal * SHOT_PART);
+        }
         self.results.rungs.push((held.id, rung));
-        self.results.shots.push(Shot {
-            id: held.id,
-            streamer: streamer.name.clone(),
-            within,
-        });
+        self.results.shots.push(Shot { id: held.id, streamer: streamer.name.clone(), within });
     }
 
-    /// The kept holder of the title while it stands, else the one of smallest phi, with room at this rung.
-    fn holder(&mut self, now: Point, place: usize, rung: usize) -> Option<usize> {
-        let held = &self.held[place];
-        let kept = self.titles[held.title].kept;
+    /// The kept holder of the title while it stands, else the one of smallest phi with room at this rung.
+    fn holder(&self, now: Point, place: usize, rung: usize) -> Option<usize> {
+        let kept = self.titles[self.held[place].title];
         let mut best: Option<(f64, usize)> = None;
         let mut kept_phi = None;
         for careful in [true, false] {
-            for at in 0..self.streamers.len() {
-                if !self.may_send(now, place, at, careful) {
-                    continue;
-                }
+            for at in (0..self.streamers.len()).filter(|at| self.may_send(now, place, *at, careful)) {
                 let a = self.capacity(now, place, at, rung);
-                if a < 1.0 {
-                    continue;
-                }
                 let phi = 1.0 / ((self.shared(place, at, rung) + 1.0) * a);
-                if kept.is_some_and(|(k, _)| k == at) {
+                if a >= 1.0 && kept.is_some_and(|(k, _)| k == at) {
                     kept_phi = Some(phi);
                 }
-                if best.is_none_or(|(least, _)| phi < least) {
+                if a >= 1.0 && best.is_none_or(|(least, _)| phi < least) {
                     best = Some((phi, at));
                 }
             }
@@ -467,15 +382,14 @@
                 break;
             }
         }
-        let (phi, mut at) = best?;
-        if let (Some((k, since)), Some(kept_phi)) = (kept, kept_phi) {
-            let fresh = self.streamers[k].told.is_some_and(|t| t > since);
-            if !fresh || phi >= kept_phi * (1.0 - SWITCH_PART) {
-                at = k;
+        let (phi, at) = best?;
+        match (kept, kept_phi) {
+            (Some((k, since)), Some(kept_phi)) => {
+                let fresh = self.streamers[k].told.is_some_and(|t| t > since);
+                Some(if !fresh || phi >= kept_phi * (1.0 - SWITCH_PART) { k } else { at })
             }
+            _ => Some(at),
         }
-        self.titles[held.title].kept = Some((at, now));
-        Some(at)
     }
 
     /// Whether a streamer may get this subscription at all; `careful` leaves out those under doubt.
@@ -486,32 +400,18 @@
         let holds = (streamer.cell + cells - held.home % cells) % cells < held.copies;
         let again = held.shots > 0 && held.streamer == at;
         let odds = streamer.odds_now(now);
-        let doubt = odds
-            >= if self.lanes[held.lane].paid {
-                DOUBTED / 2.0
-            } else {
-                DOUBTED
-            };
-        streamer.ready
-            && holds
-            && odds < CONDEMNED
-            && !(careful && (again || doubt))
-            && now >= streamer.full_until
-            && streamer.cold_turn(&self.rules, now)
+        let doubt = odds >= if self.lanes[held.lane].paid { DOUBTED / 2.0 } else { DOUBTED };
+        let sound = odds < CONDEMNED && !(careful && (again || doubt));
+        streamer.ready && holds && sound && now >= streamer.full_until && streamer.my_turn(&self.rules, now)
     }
 
     /// a(i) = min(k, n): free streams, and spare link and uplink in subscriptions at this rung.
     fn capacity(&self, now: Point, place: usize, at: usize, rung: usize) -> f64 {
         let held = &self.held[place];
-        let streamer = &self.streamers[at];
-        let own = self
-            .held
-            .iter()
-            .filter(|(_, s)| s.streamer == at && s.seated())
-            .count() as f64;
-        let k = streamer.streams - streamer.inflight.map_or(own, |(told, _)| told.max(own));
-        let room = self.room(now, at, rung == held.floor);
-        k.min(room / self.rate(held.lane, rung))
+        let own = self.held.iter().filter(|(_, s)| s.streamer == at && s.seated()).count() as f64;
+        let k = self.streamers[at].places - self.streamers[at].streams.map_or(own, |told| told.max(own));
+        let fill = if rung == held.floor { BRIM } else { FILL };
+        k.min(self.room(now, at, fill) / self.rate(held.lane, rung))
     }
 
     /// x: own viewers that share a live stream at this streamer and rung.
@@ -520,38 +420,74 @@
         if !self.lanes[held.lane].live {
             return 0.0;
         }
-        let alike = |s: &Subscription| {
-            s.streamer == at && s.title == held.title && s.lane == held.lane && s.rung == rung && s.seated()
-        };
-        self.held.iter().filter(|(_, s)| alike(s)).count() as f64
+        let alike = |s: &Subscription| s.title == held.title && s.lane == held.lane && s.rung == rung;
+        self.held.iter().filter(|(_, s)| s.streamer == at && s.seated() && alike(s)).count() as f64
     }
 
     fn rate(&self, lane: usize, rung: usize) -> f64 {
         self.ladder.kb[rung] * self.lanes[lane].scale
     }
 
-    /// Gain per kB of a subscription's step from the rung below up to this one.
-    fn density(&self, place: usize, rung: usize) -> f64 {
-        let held = &self.held[place];
-        if rung <= held.floor {
-            return f64::INFINITY;
+    /// What a subscription's step from the rung below up to this one takes of a link, and earns per kB.
+    fn step(&self, held: &Subscription, rung: usize) -> (f64, f64) {
+        let (mut kb, mut gain) = (self.rate(held.lane, rung), self.ladder.gain[rung]);
+        if rung > held.floor {
+            kb -= self.rate(held.lane, rung - 1);
+            gain -= self.ladder.gain[rung - 1];
         }
-        let kb = self.rate(held.lane, rung) - self.rate(held.lane, rung - 1);
-        held.gain * (self.ladder.gain[rung] - self.ladder.gain[rung - 1]) / kb.max(1e-9)
+        (kb, held.gain * gain / kb.max(1e-9))
+    }
+
+    fn own_kb(&self, at: usize) -> f64 {
+        let own = self.held.iter().filter(|(_, s)| s.streamer == at && s.seated());
+        own.map(|(_, s)| self.rate(s.lane, s.rung)).sum()
     }
 
-    /// Fullness of a link as told, with own changes since; what was never told, or long ago, counts more
-    /// and more as the fleet's mean. Symptom: a silent or new link that looks empty draws everything.
+    /// Fullness of a link as told, with own changes since; what was never told, or long ago, counts as the
+    /// fleet's mean. Symptom: a silent or new link that looks empty draws everything.
     fn fullness(&self, now: Point, at: usize) -> f64 {
         let streamer = &self.streamers[at];
-        let own = streamer.ledger.iter().map(|c| c.1).sum::<f64>() / streamer.link_kb.max(1e-9);
+        let link = streamer.link_kb.max(1e-9);
         let Some(told) = streamer.told else {
-            return self.mean_full.max(0.0) + own.max(0.0);
+            let others = 1.0 - 1.0 / self.rules.controllers;
+            return self.own_kb(at) / link + others * self.mean_full;
         };
+        let own = streamer.ledger.iter().map(|c| c.1).sum::<f64>() / link;
         let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
         streamer.full + own + stale * (self.mean_full - streamer.full).max(0.0)
     }
 
+    /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
+    fn room(&self, now: Point, at: usize, fill: f64) -> f64 {
+        let streamer = &self.streamers[at];
+        // A cold streamer's link is cold too.
+        let warmth = if streamer.is_cold(&self.rules, now) { self.rules.cold_from } else { 1.0 };
+        let room = (fill * warmth - self.fullness(now, at)) * streamer.link_kb;
+        room.min(self.rack_room(now, at, fill))
+    }
+
+    fn rack_room(&self, now: Point, at: usize, fill: f64) -> f64 {
+        let rack = self.streamers[at].rack;
+        // What was told of an uplink lapses: a rack that nobody uses any more tells nothing new.
+        let Some((full, told)) = self.racks[rack].filter(|(_, told)| (now - *told).seconds() < STALE / 2.0)
+        else {
+            return f64::INFINITY;
+        };
+        let mates = self.streamers.iter().filter(|s| s.rack == rack);
+        let own: f64 = mates.flat_map(|s| &s.ledger).filter(|c| c.0 > told).map(|c| c.1).sum();
+        (fill - full) * self.rules.rack_kb - own
+    }
+
+    /// The highest rung whose every step is worth the fleet's price; with no account yet, the ladder's middle.
+    fn fair_rung(&self, place: usize) -> usize {
+        let held = &self.held[place];
+        let Some(price) = self.price else {
+            return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
+        };
+        let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price);
+        worth.last().unwrap_or(held.floor)
+    }
+
     /// Looks over the own part of the fleet: its mean fullness, and the gain per kB that its links are worth
     /// when the own subscriptions are filled up, best steps first, to what the fleet leaves them.
     fn appraise(&mut self, now: Point) {
@@ -564,16 +500,12 @@
                 asked += streamer.full * streamer.link_kb + streamer.ledger.iter().map(|c| c.1).sum::<f64>();
             }
         }
-        let racks = self.rules.rack_kb * self.rules.racks as f64;
+        let racks = self.rules.rack_kb * self.racks.len() as f64;
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
-        // Little was told yet: the others are taken to hold as much as this controller does.
-        let guess = own * self.rules.controllers as f64 / capacity;
+        // While little was told, the others are taken to hold as much as this controller does.
+        let guess = own * self.rules.controllers / capacity;
         let trust = (heard / links.max(1e-9) * 2.0).min(1.0);
-        let told = if heard > 0.0 {
-            asked / heard * (links / capacity).max(1.0)
-        } else {
-            0.0
-        };
+        let told = if heard > 0.0 { asked / heard * links / capacity } else { 0.0 };
         let full = trust * told + (1.0 - trust) * guess;
         self.mean_full = full * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
@@ -582,107 +514,27 @@
         let mut left = own * (FILL / full).clamp(0.4, 4.0);
         let mut steps = std::mem::take(&mut self.steps);
         steps.clear();
-        for (place, held) in self.held.iter().filter(|(_, s)| s.seated()) {
+        for (_, held) in self.held.iter().filter(|(_, s)| s.seated()) {
             left -= self.rate(held.lane, held.floor);
-            for rung in held.floor + 1..=held.top {
-                let kb = self.rate(held.lane, rung) - self.rate(held.lane, rung - 1);
-                steps.push((self.density(place, rung), kb));
-            }
+            steps.extend((held.floor + 1..=held.top).map(|rung| self.step(held, rung)));
         }
-        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let price = steps.iter().find(|(_, kb)| {
+        steps.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let dearest = steps.iter().find(|(kb, _)| {
             left -= kb;
             left < 0.0
         });
-        let price = price.map_or(0.0, |step| step.0);
+        let price = dearest.map_or(0.0, |step| step.1);
         self.price = Some(self.price.map_or(price, |old| old + SMOOTH * (price - old)));
         self.steps = steps;
     }
 
-    /// The highest rung whose every step is worth the fleet's price; with no account yet, the ladder's middle.
-    fn fair_rung(&self, place: usize) -> usize {
-        let held = &self.held[place];
-        let Some(price) = self.price else {
-            return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
-        };
-        let worth = (held.floor + 1..=held.top).take_while(|rung| self.density(place, *rung) >= price);
-        worth.last().unwrap_or(held.floor)
-    }
-
-    fn own_kb(&self, at: usize) -> f64 {
-        let own = self.held.iter().filter(|(_, s)| s.streamer == at && s.seated());
-        own.map(|(_, s)| self.rate(s.lane, s.rung)).sum()
-    }
-
-    /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
-    fn room(&self, now: Point, at: usize, floor: bool) -> f64 {
-        let streamer = &self.streamers[at];
-        let fill = if floor { BRIM } else { FILL };
-        let room = (fill * streamer.warmth(&self.rules, now) - self.fullness(now, at)) * streamer.link_kb;
-        room.min(self.rack_room(now, at, fill))
-    }
-
-    fn rack_room(&self, now: Point, at: usize, fill: f64) -> f64 {
-        let rack = self.streamers[at].rack;
-        // What was told of an uplink lapses: a rack that nobody uses any more tells nothing new.
-        let Some((full, told)) = self.racks[rack].filter(|(_, told)| (now - *told).seconds() < STALE / 2.0)
-        else {
-            return f64::INFINITY;
-        };
-        let mates = self.streamers.iter().filter(|s| s.rack == rack);
-        let own: f64 = mates
-            .flat_map(|s| &s.ledger)
-            .filter(|c| c.0 > told)
-            .map(|c| c.1)
-            .sum();
-        (fill - full) * self.rules.rack_kb - own
-    }
-
-    /// Steps own subscriptions at a streamer down one rung each, cheapest first, until so much is freed.
-    fn step_down(&mut self, now: Point, at: usize, mut missing: f64) {
-        while missing > 0.0 {
-            let own = self.held.iter().filter(|(_, s)| s.steady(at, now));
-            let priced = own.map(|(place, s)| (self.density(place, s.rung), place));
-            let Some((_, place)) = priced.min_by(|a, b| a.0.total_cmp(&b.0)) else {
-                return;
-            };
-            let rung = self.held[place].rung;
-            missing -= self.set_rung(now, place, rung - 1);
-        }
-    }
-
-    /// Sets the rung of a playing subscription; returns the kB that this frees.
-    fn set_rung(&mut self, now: Point, place: usize, rung: usize) -> f64 {
-        let held = &self.held[place];
-        let freed = self.rate(held.lane, held.rung) - self.rate(held.lane, rung);
-        let at = held.streamer;
-        let quiet = Span::of(self.chance.between(QUIET.0, QUIET.1));
-        let held = &mut self.held[place];
-        held.climb_at = now + if freed < 0.0 { quiet.max(CLIMB_GAP) } else { quiet };
-        held.rung = rung;
-        held.changed = now;
-        self.results.rungs.push((held.id, rung));
-        if let Some(streamer) = self.streamers.get_mut(at) {
-            streamer.ledger.push_back((now, -freed));
-        }
-        freed
-    }
-
-    /// How long a shot may take: a free lane's leaves time for another within the latency goal.
-    fn patience(&self, now: Point, place: usize) -> Span {
-        let held = &self.held[place];
-        let left = held.cut_off - now;
-        if self.lanes[held.lane].paid || held.shots + 1 >= self.rules.most_shots {
-            return left;
-        }
-        left.min(self.lanes[held.lane].goal * 0.45)
-    }
-
     /// Further shots stay within the ration in every window that ends now.
-    fn within_ration(&self, now: Point, held: &Subscription) -> bool {
-        let (Some((floor, share, window)), true) = (self.rules.ration, held.shots > 0) else {
+    fn within_ration(&self, now: Point, shots: u32) -> bool {
+        let (Some(share), true) = (number(&self.rules.sheet, "ration.share"), shots > 0) else {
             return true;
         };
+        let floor = self.rules.number("ration.floor", 0.0);
+        let window = Span::of(self.rules.number("ration.window", 0.0));
         let made = self.further.iter().filter(|t| now - **t <= window).count() as f64;
         let taken = self.taken.iter().filter(|t| now - **t < window).count() as f64;
         made + 1.0 <= floor + share * taken
@@ -690,112 +542,109 @@
 
     /// The final answer of a subscription that is given up, at once: turned back where the terms allow.
     fn give_up(&mut self, place: usize) {
-        let held = &mut self.held[place];
+        let held = self.held.remove(place);
         if held.may_have_run && self.lanes[held.lane].paid {
             self.results.scrapped.push(held.id);
         } else {
-            self.results.turned_back.push((held.id, self.rules.retry_after));
+            self.results.turned_back.push((held.id, self.rules.retry_after()));
         }
-        self.held.remove(place);
     }
 
     /// A streamer's news of its load.
-    fn hear(&mut self, now: Point, at: usize, load: Load, age: Span, noisy: bool) {
+    fn hear(&mut self, now: Point, at: usize, load: Load, age: Span, part: f64) {
         let Some(streamer) = self.streamers.get_mut(at) else {
             return;
         };
         let of = now - age;
-        if load.link.is_some() && streamer.told.is_some_and(|t| t > of) {
-            return;
-        }
-        if let Some(full) = load.link {
-            // The figures of answers are noisier than notes: they move what is known only half way.
-            let own: f64 = streamer.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
-            let known = streamer.full + own / streamer.link_kb.max(1e-9);
-            let part = if noisy && streamer.told.is_some() {
-                0.5
-            } else {
-                1.0
-            };
+        if let (Some(full), false) = (load.link, streamer.told.is_some_and(|t| t > of)) {
+            let past: f64 = streamer.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
+            let known = streamer.full + past / streamer.link_kb.max(1e-9);
+            let part = if streamer.told.is_some() { part } else { 1.0 };
             streamer.full = (known + part * (full - known)).max(0.0);
             streamer.told = Some(of);
-            while streamer.ledger.front().is_some_and(|c| c.0 <= of) {
-                streamer.ledger.pop_front();
-            }
+            streamer.ledger.retain(|c| c.0 > of);
         }
         if let Some(full) = load.rack {
             self.racks[streamer.rack] = Some((full.max(0.0), of));
         }
-        if let Some(streams) = load.streams {
-            streamer.inflight = Some((streams, of));
-        }
+        streamer.streams = load.streams.or(streamer.streams);
         self.relieve(now, at);
     }
 
     /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
-    /// that everybody has to, cheapest first, so that all controllers together free just what is missing.
+    /// that everybody has to, cheapest steps first, so that all controllers together free what is missing.
     fn relieve(&mut self, now: Point, at: usize) {
-        let full = self.fullness(now, at);
-        if full > PRESSED {
-            let missing = self.own_kb(at) * (1.0 - FILL / full);
-            self.step_down(now, at, missing);
+        let rack = 1.0 - (self.rack_room(now, at, 1.0) / self.rules.rack_kb.max(1e-9)).min(1.0);
+        let full = self.fullness(now, at).max(rack);
+        if full <= PRESSED {
+            return;
         }
-        let rack = -self.rack_room(now, at, PRESSED);
-        if rack > 0.0 {
-            let full = 1.0 + rack / self.rules.rack_kb.max(1e-9);
-            let missing = self.own_kb(at) * (1.0 - FILL / full);
-            self.step_down(now, at, missing);
+        let mut missing = self.own_kb(at) * (1.0 - FILL / full);
+        while missing > 0.0 {
+            let steady = |s: &Subscription| s.plays_at(at) && s.rung > s.floor && s.changed < now;
+            let own = self.held.iter().filter(|(_, s)| steady(s));
+            let priced = own.map(|(place, s)| (self.step(s, s.rung), place));
+            let Some(((kb, _), place)) = priced.min_by(|a, b| a.0 .1.total_cmp(&b.0 .1)) else {
+                return;
+            };
+            missing -= kb;
+            self.set_rung(now, place, self.held[place].rung - 1);
+        }
+    }
+
+    fn set_rung(&mut self, now: Point, place: usize, rung: usize) {
+        let quiet = self.chance.between(QUIET.0, QUIET.1);
+        let held = &self.held[place];
+        let more = self.rate(held.lane, rung) - self.rate(held.lane, held.rung);
+        let held = &mut self.held[place];
+        held.climb_at = now + Span::of(if more > 0.0 { QUIET.1 } else { quiet });
+        (held.rung, held.changed) = (rung, now);
+        self.results.rungs.push((held.id, rung));
+        if let Some(streamer) = self.streamers.get_mut(held.streamer) {
+            streamer.ledger.push_back((now, more));
         }
     }
 
-    /// Regular work: climbs where the own account shows room.
+    /// Regular work: forgets what is past, appraises the fleet and climbs where there is room.
     pub fn wake(&mut self, now: Point) {
         if now < self.wake_at {
             return;
         }
         self.ask_wake(now);
-        if let Some((_, _, window)) = self.rules.ration {
-            for times in [&mut self.taken, &mut self.further] {
-                while times.front().is_some_and(|t| now - *t > window) {
-                    times.pop_front();
-                }
-            }
-        } else {
-            self.taken.clear();
-            self.further.clear();
-        }
+        let window = Span::of(self.rules.number("ration.window", 0.0));
+        self.taken.retain(|t| now - *t <= window);
+        self.further.retain(|t| now - *t <= window);
+        let first = self.price.is_none();
         self.appraise(now);
-        for streamer in &mut self.streamers {
-            while streamer
-                .ledger
-                .front()
-                .is_some_and(|c| (now - c.0).seconds() > 2.0 * STALE)
-            {
-                streamer.ledger.pop_front();
-            }
-        }
         for at in 0..self.streamers.len() {
+            let streamer = &mut self.streamers[at];
+            streamer.ledger.retain(|c| (now - c.0).seconds() < 2.0 * STALE);
+            if first {
+                // Handed over more than the links give: step down before the first late notes tell.
+                self.relieve(now, at);
+            }
             self.climb(now, at);
         }
     }
 
+    /// One own subscription at a streamer climbs a rung into this controller's part of the fresh room.
     fn climb(&mut self, now: Point, at: usize) {
-        let Some(told) = self.streamers[at].told else {
-            return;
-        };
-        if now - told > self.rules.note_age + self.rules.note_every * 1.5 {
+        let lapse = self.rules.note_age() + Span::of(1.5 * self.rules.number("notes.every", 0.0));
+        if self.streamers[at].told.is_none_or(|told| now - told > lapse) {
             return;
         }
-        let room = self.room(now, at, false) / self.rules.controllers as f64;
-        let ready = self.held.iter().filter(|(_, s)| {
-            s.state == State::Playing && s.streamer == at && s.rung < s.top && now >= s.climb_at
-        });
-        let fair = ready.filter(|(place, s)| s.rung < self.fair_rung(*place));
-        let fits = fair.filter(|(_, s)| self.rate(s.lane, s.rung + 1) - self.rate(s.lane, s.rung) <= room);
-        let best = fits.map(|(place, s)| (self.density(place, s.rung + 1), place));
-        if let Some((_, place)) = best.max_by(|a, b| a.0.total_cmp(&b.0)) {
-            let rung = self.held[place].rung + 1;
-            self.set_rung(now, place, rung);
+        let room = self.room(now, at, FILL) / self.rules.controllers;
+        let able = |place: usize, s: &Subscription| {
+            s.plays_at(at)
+                && now >= s.climb_at
+                && s.rung < self.fair_rung(place)
+                && self.step(s, s.rung + 1).0 <= room
+        };
+        let able = self.held.iter().filter(|(place, s)| able(*place, s));
+        let best =
+            able.max_by(|a, b| self.step(a.1, a.1.rung + 1).1.total_cmp(&self.step(b.1, b.1.rung + 1).1));
+        if let Some((place, held)) = best {
+            self.set_rung(now, place, held.rung + 1);
         }
     }
 }
@@ -819,7 +668,7 @@
     pub fn at_rung(self, on: &mut Controller, rung: usize) {
         let highest = on.ladder.kb.len() - 1;
         if let Some(held) = self.find(on) {
-            held.rung = rung.min(highest);
+            held.rung = rung.clamp(held.floor, highest);
         }
     }
 
@@ -827,7 +676,6 @@
     pub fn short(self, on: &mut Controller, now: Point, share: f64) {
         let Some(held) = self.find(on) else { return };
         let at = held.streamer;
-        let age = on.rules.note_age;
         if share >= BRIM || at >= on.streamers.len() {
             return;
         }
@@ -835,22 +683,22 @@
         // A link that is told to have room and yet delivers short stands in a rack whose uplink is full.
         let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
         let load = if roomy { Load::rack(full) } else { Load::link(full) };
-        on.hear(now, at, load, age, false);
+        on.hear(now, at, load, on.rules.note_age(), 1.0);
     }
 
     /// The streamer tells how full its link or its rack's uplink is.
     pub fn load(self, on: &mut Controller, now: Point, load: Load) {
         let Some(held) = self.find(on) else { return };
         let (at, set_up) = (held.streamer, now - held.changed < BEAT);
-        let age = if set_up { Span::ZERO } else { on.rules.note_age };
-        on.hear(now, at, load, age, false);
+        let age = if set_up { Span::ZERO } else { on.rules.note_age() };
+        on.hear(now, at, load, age, 1.0);
     }
 
     /// A shot or its stream ended; `over` says that the subscription is finished with it.
     pub fn ended(self, on: &mut Controller, now: Point, ending: Ending, over: bool, load: Load) {
         let Some(held) = self.find(on) else { return };
-        let (at, played, rung, lane) = (held.streamer, held.state == State::Playing, held.rung, held.lane);
-        let dropped = held.state == State::Ended;
+        let (at, rung, lane) = (held.streamer, held.rung, held.lane);
+        let finished = over || matches!(held.state, State::Playing | State::Left);
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
         let kb = on.rate(lane, rung);
@@ -867,16 +715,15 @@
                 _ => {}
             }
         }
-        on.hear(now, at, load, ANSWER_AGE, true);
-        if over || dropped || played {
+        on.hear(now, at, load, ANSWER_AGE, ANSWER_PART);
+        let Some(held) = self.find(on) else { return };
+        if finished {
             on.held.remove(self.place);
-            return;
-        }
-        let held = &on.held[self.place];
-        if (held.may_have_run && on.lanes[held.lane].paid) || now >= held.cut_off {
-            return on.give_up(self.place);
+        } else if held.may_have_run && on.lanes[lane].paid {
+            on.give_up(self.place);
+        } else {
+            on.place(now, self.place);
         }
-        on.place(now, self.place);
     }
 
     /// The viewer left; a shot that is still out keeps its place until it ends.
@@ -885,7 +732,7 @@
         if held.state == State::Waiting {
             on.held.remove(self.place);
         } else {
-            held.state = State::Ended;
+            held.state = State::Left;
         }
     }
 }
@@ -895,52 +742,52 @@
         self.state != State::Waiting
     }
 
-    /// Plays at this streamer above its floor and was not changed just now.
-    fn steady(&self, at: usize, now: Point) -> bool {
-        self.state == State::Playing && self.streamer == at && self.rung > self.floor && self.changed < now
+    fn plays_at(&self, at: usize) -> bool {
+        self.state == State::Playing && self.streamer == at
     }
 }
 
 impl Lane {
     fn unnamed(name: &str, top: usize) -> Lane {
-        let goal = Span::of(1.0);
-        Lane {
-            name: name.to_owned(),
-            gain: 1.0,
-            goal,
-            paid: true,
-            floor: 0,
-            top,
-            scale: 1.0,
-            seats: 0,
-            live: false,
-        }
+        let (name, goal) = (name.to_owned(), Span::of(1.0));
+        Lane { name, gain: 1.0, goal, paid: true, top, scale: 1.0, ..Lane::default() }
     }
 }
 
-impl Streamer {
-    fn new(name: &str, now: Point) -> Streamer {
-        Streamer {
-            name: name.to_owned(),
-            zone: usize::MAX,
-            rack: 0,
-            cell: 0,
-            ready: false,
-            link_kb: 0.0,
-            streams: 0.0,
-            started: None,
-            full: 0.0,
-            told: None,
-            inflight: None,
-            ledger: VecDeque::with_capacity(16),
-            odds: 0.0,
-            odds_at: now,
-            full_until: now,
-            turn: i64::MIN,
-            turn_sends: 0,
-        }
+impl HouseRules {
+    fn number(&self, name: &str, fallback: f64) -> f64 {
+        number(&self.sheet, name).unwrap_or(fallback)
     }
 
+    /// How late the streamers' notes are.
+    fn note_age(&self) -> Span {
+        Span::of(self.number("notes.age", 0.0))
+    }
+
+    fn retry_after(&self) -> Option<Span> {
+        let longest = Span::of(self.number("retry_after.longest", 0.0));
+        (flag(&self.sheet, "retry_after.allowed") && longest > Span::ZERO).then_some(longest)
+    }
+
+    /// Streams that a kind of machine runs at most.
+    fn places(&self, kind: &str) -> f64 {
+        let of = (0..).map_while(|i| Some((i, text(&self.sheet, &format!("kinds.{i}"))?)));
+        let of = of.filter(|(_, name)| *name == kind).last();
+        of.map_or(f64::INFINITY, |(i, _)| self.number(&format!("kind_streams.{i}"), f64::INFINITY))
+    }
+}
+
+impl Tenant {
+    /// The part of the tenant's wishes, as many here as elsewhere, that is within its share.
+    fn within(&mut self, now: Point, first: bool, controllers: f64) -> f64 {
+        self.count *= (-(now - self.counted).seconds() / TENANT_SPAN).exp();
+        self.counted = now;
+        self.count += if first { 1.0 } else { 0.0 };
+        (self.quota_per_s * TENANT_SPAN / (self.count * controllers).max(1e-9)).min(1.0)
+    }
+}
+
+impl Streamer {
     /// One step of the sequential test; the odds never fall below even.
     fn weigh(&mut self, now: Point, step: f64) {
         self.odds = (self.odds_now(now) + step).clamp(0.0, 2.0 * CONDEMNED);
@@ -955,39 +802,26 @@
         self.started.is_some_and(|s| now - s < rules.cold)
     }
 
-    fn warmth(&self, rules: &HouseRules, now: Point) -> f64 {
-        if self.is_cold(rules, now) {
-            rules.cold_from
-        } else {
-            1.0
-        }
-    }
-
-    /// Sends that a whole turn at this cold streamer may hold: the fall budget at its coldest, with a margin.
-    fn cold_sends(&self, rules: &HouseRules) -> u32 {
-        let pace = self.streams / rules.cold.seconds().max(1e-3) * rules.cold_from;
-        (pace * rules.fall_multiple * rules.fall_window.seconds() * 0.7) as u32
-    }
-
     /// Controllers take turns at a cold streamer by number. A turn is two windows long and only its first
-    /// half may send, so that every window meets one turn at most.
-    fn cold_turn(&self, rules: &HouseRules, now: Point) -> bool {
+    /// half may send, so that every window meets one turn at most; a whole turn holds less than the budget
+    /// of the streamer at its coldest. Symptom: all controllers at once pour into a streamer that came back.
+    fn my_turn(&self, rules: &HouseRules, now: Point) -> bool {
         if !self.is_cold(rules, now) {
             return true;
         }
-        let length = rules.fall_window * 2.0;
+        let pace = self.places / rules.cold.seconds().max(1e-3) * rules.cold_from;
+        let window = Span::of(rules.number("cold.window", 1.0));
+        let budget = pace * rules.number("cold.multiple", 1.0) * window.seconds() * 0.7;
+        let length = window * 2.0;
         let turn = now.turn(length);
-        let spent = if self.turn == turn { self.turn_sends } else { 0 };
-        turn.rem_euclid(rules.controllers) == rules.me
-            && now.into_turn(length) < rules.fall_window
-            && spent < self.cold_sends(rules)
+        let spent = if self.turn.0 == turn { self.turn.1 } else { 0 };
+        let number = turn.rem_euclid(rules.controllers as i64) as f64;
+        let mine = number == rules.number("me", 0.0) && now.into_turn(length) < window;
+        mine && f64::from(spent) + 1.0 <= budget
     }
 
-    fn count_cold_send(&mut self, rules: &HouseRules, now: Point) {
-        let turn = now.turn(rules.fall_window * 2.0);
-        if self.turn != turn {
-            (self.turn, self.turn_sends) = (turn, 0);
-        }
-        self.turn_sends += 1;
+    fn count_turn(&mut self, rules: &HouseRules, now: Point) {
+        let turn = now.turn(Span::of(2.0 * rules.number("cold.window", 1.0)));
+        self.turn = (turn, if self.turn.0 == turn { self.turn.1 + 1 } else { 1 });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,6 +14,30 @@
 /// The settings: plain names to values, lists spelled out as `lanes.0.gain`, `lanes.1.gain` and so on.
 pub type Sheet = BTreeMap<String, Value>;
 
+/// The number of that name; none where it is missing or no number.
+pub fn number(sheet: &Sheet, name: &str) -> Option<f64> {
+    match sheet.get(name) {
+        Some(Value::Number(n)) if n.is_finite() => Some(*n),
+        _ => None,
+    }
+}
+
+pub fn text<'a>(sheet: &'a Sheet, name: &str) -> Option<&'a str> {
+    match sheet.get(name) {
+        Some(Value::Text(t)) => Some(t),
+        _ => None,
+    }
+}
+
+pub fn flag(sheet: &Sheet, name: &str) -> bool {
+    sheet.get(name) == Some(&Value::Flag(true))
+}
+
+/// All numbers of a list.
+pub fn row(sheet: &Sheet, name: &str) -> Vec<f64> {
+    (0..).map_while(|i| number(sheet, &format!("{name}.{i}"))).collect()
+}
+
 /// A viewer's wish, as it is taken or handed over.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
