--- a/src/control.rs
+++ b/src/control.rs
@@ -680,9 +680,10 @@
             return;
         }
         let full = 1.0 / share.max(0.3);
-        // A link that is told to have room and yet delivers short stands in a rack whose uplink is full.
+        // Where uplinks are told of, a link that has room and yet delivers short stands behind a full one.
         let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
-        let load = if roomy { Load::rack(full) } else { Load::link(full) };
+        let behind = roomy && on.racks[on.streamers[at].rack].is_some();
+        let load = if behind { Load::rack(full) } else { Load::link(full) };
         on.hear(now, at, load, on.rules.note_age(), 1.0);
     }
 
