--- a/src/control.rs
+++ b/src/control.rs
@@ -260,21 +260,21 @@
     /// Takes a wish and answers it: with a shot, or with a turn-back.
     pub fn take(&mut self, now: Point, wish: &Wish) -> Handle {
         self.taken.push_back(now);
-        let handle = self.enter(now, wish);
+        let handle = self.enter(now, wish, !wish.returned);
         self.place(now, handle.place);
         handle
     }
 
     /// Takes over a subscription that plays already.
     pub fn inherit(&mut self, now: Point, wish: &Wish, streamer: &str) -> Handle {
-        let handle = self.enter(now, wish);
+        let handle = self.enter(now, wish, false);
         let held = &mut self.held[handle.place];
         held.streamer = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
         (held.state, held.shots) = (State::Playing, 1);
         handle
     }
 
-    fn enter(&mut self, now: Point, wish: &Wish) -> Handle {
+    fn enter(&mut self, now: Point, wish: &Wish, first: bool) -> Handle {
         let title = match self.by_title.get(wish.title) {
             Some(title) => *title,
             None => {
@@ -290,7 +290,7 @@
         });
         // Traffic past a tenant's share earns little. Symptom: one tenant's crowd takes everybody's links.
         let tenant = self.tenants.iter_mut().find(|t| t.name == wish.tenant);
-        let within = tenant.map_or(1.0, |t| t.within(now, !wish.returned, self.rules.controllers));
+        let within = tenant.map_or(1.0, |t| t.within(now, first, self.rules.controllers));
         let past = (1.0 - within) * self.rules.number("over_share_gain", 1.0);
         let terms = &self.lanes[lane];
         self.serial += 1;
@@ -332,8 +332,10 @@
         if now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots) {
             return self.give_up(place);
         }
-        // Past its tenant's share, and not even the lowest rung earns what its link is worth elsewhere.
-        if held.gain < terms.gain && self.price.is_some_and(|p| self.step(held, floor).1 < p) {
+        // Past its tenant's share, and no rung earns what its link is worth elsewhere.
+        let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
+        let poor = |price| (floor..=held.top).all(|rung| earns(rung) < price);
+        if held.gain < terms.gain && self.price.is_some_and(poor) {
             return self.give_up(place);
         }
         // Highest rung first; at each the kept holder, else the smallest phi; lower rungs, then a turn-back.
@@ -511,7 +513,7 @@
         if own <= 0.0 || full <= 0.0 {
             return;
         }
-        let mut left = own * (FILL / full).clamp(0.4, 4.0);
+        let mut left = own * (FILL / full).clamp(0.4, 40.0);
         let mut steps = std::mem::take(&mut self.steps);
         steps.clear();
         for (_, held) in self.held.iter().filter(|(_, s)| s.seated()) {
