--- a/src/control.rs
+++ b/src/control.rs
@@ -9,7 +9,9 @@
 
 use crate::chance::Chance;
 use crate::clock::{Point, Span};
-use crate::interface::{flag, number, row, text, Ending, Line, Load, Results, Sheet, Shot, Stage, Wish};
+use crate::interface::{
+    flag, number, row, span, text, Ending, Line, Load, Results, Sheet, Shot, Stage, Wish,
+};
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 
@@ -160,7 +162,6 @@
     /// The fleet's mean fullness, and the gain per kB that a step must earn, as far as is known.
     mean_full: f64,
     price: Option<f64>,
-    steps: Vec<(f64, f64)>,
     pub results: Results,
 }
 
@@ -196,7 +197,7 @@
             controllers: read("controllers", 1.0).max(1.0),
             cells: read("cells", 1.0).max(1.0) as usize,
             rack_kb: read("rack.kb", 0.0),
-            cold: Span::of(read("cold.span", 0.0)),
+            cold: span(sheet, "cold.span"),
             cold_from: read("cold.from", 1.0),
         };
         Controller {
@@ -217,7 +218,6 @@
             wake_at: now,
             mean_full: 0.0,
             price: None,
-            steps: Vec::with_capacity(512),
             results: Results::default(),
         }
     }
@@ -233,13 +233,11 @@
                 self.streamers.push(Streamer::default());
                 self.streamers[at].name.clone_from(&line.streamer);
             }
-            let places = self.rules.places(&line.kind);
             let streamer = &mut self.streamers[at];
-            streamer.cell = line.cell;
-            streamer.rack = line.cell % self.racks.len();
+            (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
             streamer.ready = line.stage == Stage::Ready;
             streamer.link_kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
-            streamer.places = places;
+            streamer.places = self.rules.places(&line.kind);
             if line.started > streamer.started {
                 // A new process holds nothing and is under doubt no more than half.
                 streamer.started = line.started;
@@ -275,14 +273,11 @@
     }
 
     fn enter(&mut self, now: Point, wish: &Wish, first: bool) -> Handle {
-        let title = match self.by_title.get(wish.title) {
-            Some(title) => *title,
-            None => {
-                self.by_title.insert(wish.title.to_owned(), self.titles.len());
-                self.titles.push(None);
-                self.titles.len() - 1
-            }
-        };
+        let title = self.by_title.get(wish.title).copied().unwrap_or_else(|| {
+            self.by_title.insert(wish.title.to_owned(), self.titles.len());
+            self.titles.push(None);
+            self.titles.len() - 1
+        });
         let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or_else(|| {
             // A lane that the settings never named is served on the strictest terms.
             self.lanes.push(Lane::unnamed(wish.lane, self.ladder.kb.len() - 1));
@@ -323,13 +318,10 @@
         let (lane, floor) = (held.lane, held.floor);
         let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
         let terms = &self.lanes[lane];
-        if terms.seats > 0 {
-            let seated = |s: &Subscription| s.title == held.title && s.lane == lane && s.seated();
-            if self.held.iter().filter(|(_, s)| seated(s)).count() >= terms.seats {
-                return self.give_up(place);
-            }
-        }
-        if now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots) {
+        let seated = |s: &Subscription| s.title == held.title && s.lane == lane && s.seated();
+        let no_seat = terms.seats > 0 && self.held.iter().filter(|(_, s)| seated(s)).count() >= terms.seats;
+        let spent = now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots);
+        if no_seat || spent {
             return self.give_up(place);
         }
         // Past its tenant's share, and no rung earns what its link is worth elsewhere.
@@ -514,8 +506,7 @@
             return;
         }
         let mut left = own * (FILL / full).clamp(0.4, 40.0);
-        let mut steps = std::mem::take(&mut self.steps);
-        steps.clear();
+        let mut steps = Vec::new();
         for (_, held) in self.held.iter().filter(|(_, s)| s.seated()) {
             left -= self.rate(held.lane, held.floor);
             steps.extend((held.floor + 1..=held.top).map(|rung| self.step(held, rung)));
@@ -527,7 +518,6 @@
         });
         let price = dearest.map_or(0.0, |step| step.1);
         self.price = Some(self.price.map_or(price, |old| old + SMOOTH * (price - old)));
-        self.steps = steps;
     }
 
     /// Further shots stay within the ration in every window that ends now.
@@ -536,7 +526,7 @@
             return true;
         };
         let floor = self.rules.number("ration.floor", 0.0);
-        let window = Span::of(self.rules.number("ration.window", 0.0));
+        let window = span(&self.rules.sheet, "ration.window");
         let made = self.further.iter().filter(|t| now - **t <= window).count() as f64;
         let taken = self.taken.iter().filter(|t| now - **t < window).count() as f64;
         made + 1.0 <= floor + share * taken
@@ -613,7 +603,7 @@
             return;
         }
         self.ask_wake(now);
-        let window = Span::of(self.rules.number("ration.window", 0.0));
+        let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
         let first = self.price.is_none();
@@ -631,7 +621,7 @@
 
     /// One own subscription at a streamer climbs a rung into this controller's part of the fresh room.
     fn climb(&mut self, now: Point, at: usize) {
-        let lapse = self.rules.note_age() + Span::of(1.5 * self.rules.number("notes.every", 0.0));
+        let lapse = span(&self.rules.sheet, "notes.age") + span(&self.rules.sheet, "notes.every") * 1.5;
         if self.streamers[at].told.is_none_or(|told| now - told > lapse) {
             return;
         }
@@ -686,14 +676,14 @@
         let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
         let behind = roomy && on.racks[on.streamers[at].rack].is_some();
         let load = if behind { Load::rack(full) } else { Load::link(full) };
-        on.hear(now, at, load, on.rules.note_age(), 1.0);
+        on.hear(now, at, load, span(&on.rules.sheet, "notes.age"), 1.0);
     }
 
     /// The streamer tells how full its link or its rack's uplink is.
     pub fn load(self, on: &mut Controller, now: Point, load: Load) {
         let Some(held) = self.find(on) else { return };
         let (at, set_up) = (held.streamer, now - held.changed < BEAT);
-        let age = if set_up { Span::ZERO } else { on.rules.note_age() };
+        let age = if set_up { Span::ZERO } else { span(&on.rules.sheet, "notes.age") };
         on.hear(now, at, load, age, 1.0);
     }
 
@@ -762,13 +752,8 @@
         number(&self.sheet, name).unwrap_or(fallback)
     }
 
-    /// How late the streamers' notes are.
-    fn note_age(&self) -> Span {
-        Span::of(self.number("notes.age", 0.0))
-    }
-
     fn retry_after(&self) -> Option<Span> {
-        let longest = Span::of(self.number("retry_after.longest", 0.0));
+        let longest = span(&self.sheet, "retry_after.longest");
         (flag(&self.sheet, "retry_after.allowed") && longest > Span::ZERO).then_some(longest)
     }
 
@@ -813,7 +798,7 @@
             return true;
         }
         let pace = self.places / rules.cold.seconds().max(1e-3) * rules.cold_from;
-        let window = Span::of(rules.number("cold.window", 1.0));
+        let window = span(&rules.sheet, "cold.window");
         let budget = pace * rules.number("cold.multiple", 1.0) * window.seconds() * 0.7;
         let length = window * 2.0;
         let turn = now.turn(length);
@@ -824,7 +809,7 @@
     }
 
     fn count_turn(&mut self, rules: &HouseRules, now: Point) {
-        let turn = now.turn(Span::of(2.0 * rules.number("cold.window", 1.0)));
+        let turn = now.turn(span(&rules.sheet, "cold.window") * 2.0);
         self.turn = (turn, if self.turn.0 == turn { self.turn.1 + 1 } else { 1 });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,6 +22,11 @@
     }
 }
 
+/// The same as a span of so many seconds; none at all where it is missing.
+pub fn span(sheet: &Sheet, name: &str) -> Span {
+    Span::of(number(sheet, name).unwrap_or(0.0))
+}
+
 pub fn text<'a>(sheet: &'a Sheet, name: &str) -> Option<&'a str> {
     match sheet.get(name) {
         Some(Value::Text(t)) => Some(t),
@@ -103,15 +108,11 @@
 
 impl Load {
     pub fn link(full: f64) -> Load {
-        let mut load = Load::default();
-        load.link = Some(full);
-        load
+        Load { link: Some(full), ..Load::default() }
     }
 
     pub fn rack(full: f64) -> Load {
-        let mut load = Load::default();
-        load.rack = Some(full);
-        load
+        Load { rack: Some(full), ..Load::default() }
     }
 }
 
