--- a/src/control.rs
+++ b/src/control.rs
@@ -672,9 +672,9 @@
             return;
         }
         let full = 1.0 / share.max(0.3);
-        // Where uplinks are told of, a link that has room and yet delivers short stands behind a full one.
-        let roomy = on.streamers[at].told.is_some() && on.fullness(now, at) < FILL;
-        let behind = roomy && on.racks[on.streamers[at].rack].is_some();
+        // A link that is told to have room, and yet delivers short, stands behind an uplink told to be full.
+        let uplink = on.racks[on.streamers[at].rack].map_or(0.0, |told| told.0);
+        let behind = uplink >= FILL && uplink > on.fullness(now, at);
         let load = if behind { Load::rack(full) } else { Load::link(full) };
         on.hear(now, at, load, span(&on.rules.sheet, "notes.age"), 1.0);
     }
