Step down above 1.15 of a link, only as far as just full; answers weigh a fifth

Cause: relief down to the fill took one step too many for each shortage, and each was climbed back at a price.

--- a/src/control.rs
+++ b/src/control.rs
@@ -22,12 +22,12 @@
 /// What set-ups at the lowest rung may fill; a share delivered under this is short.
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
-const PRESSED: f64 = 1.10;
+const PRESSED: f64 = 1.15;
 /// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
-const QUIET: (f64, f64) = (3.0, 6.0);
+const QUIET: (f64, f64) = (2.0, 4.0);
 /// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
 const ANSWER_AGE: Span = Span::of_millis(400);
-const ANSWER_PART: f64 = 0.5;
+const ANSWER_PART: f64 = 0.2;
 /// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
 const STALE: f64 = 12.0;
 const SMOOTH: f64 = 0.2;
@@ -571,7 +571,7 @@
         if full <= PRESSED {
             return;
         }
-        let mut missing = self.own_kb(at) * (1.0 - FILL / full);
+        let mut missing = self.own_kb(at) * (1.0 - 1.0 / full);
         while missing > 0.0 {
             let steady = |s: &Subscription| s.plays_at(at) && s.rung > s.floor && s.changed < now;
             let own = self.held.iter().filter(|(_, s)| steady(s));
