--- a/src/control.rs
+++ b/src/control.rs
@@ -79,14 +79,18 @@
     counted: Point,
 }
 
-/// What the operators state and allow, and the few figures of it that are read all the time.
+/// What the operators state and allow; each rule is read where it is needed.
 struct HouseRules {
     sheet: Sheet,
-    controllers: f64,
-    cells: usize,
-    rack_kb: f64,
-    cold: Span,
-    cold_from: f64,
+}
+
+/// A link or a rack's uplink: its size, its fullness as last told, and own changes of rate since that moment.
+#[derive(Clone, Default)]
+struct Pipe {
+    kb: f64,
+    full: f64,
+    told: Option<Point>,
+    ledger: VecDeque<(Point, f64)>,
 }
 
 #[derive(Default)]
@@ -95,16 +99,11 @@
     rack: usize,
     cell: usize,
     ready: bool,
-    link_kb: f64,
     places: f64,
     /// Last start: from the list, or the moment at which this controller saw it break.
     started: Option<Point>,
-    /// Fullness of the link as last told, and the moment that this speaks of.
-    full: f64,
-    told: Option<Point>,
+    link: Pipe,
     streams: Option<f64>,
-    /// Own changes of rate since the moment told.
-    ledger: VecDeque<(Point, f64)>,
     odds: f64,
     odds_at: Point,
     full_until: Point,
@@ -148,8 +147,7 @@
     tenants: Vec<Tenant>,
     streamers: Vec<Streamer>,
     by_name: HashMap<String, usize>,
-    /// What was last told of each rack's uplink, and the moment that this speaks of.
-    racks: Vec<Option<(f64, Point)>>,
+    racks: Vec<Pipe>,
     /// The kept holder of each title and when it was chosen.
     titles: Vec<Option<(usize, Point)>>,
     by_title: HashMap<String, usize>,
@@ -192,22 +190,15 @@
             let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
             Some(Tenant { name, quota_per_s, count: 0.0, counted: now })
         };
-        let rules = HouseRules {
-            sheet: sheet.clone(),
-            controllers: read("controllers", 1.0).max(1.0),
-            cells: read("cells", 1.0).max(1.0) as usize,
-            rack_kb: read("rack.kb", 0.0),
-            cold: span(sheet, "cold.span"),
-            cold_from: read("cold.from", 1.0),
-        };
+        let uplink = Pipe { kb: read("rack.kb", 0.0), ..Pipe::default() };
         Controller {
-            rules,
+            rules: HouseRules { sheet: sheet.clone() },
             ladder,
             lanes: (0..).map_while(lane).collect(),
             tenants: (0..).map_while(tenant).collect(),
             streamers: Vec::new(),
             by_name: HashMap::new(),
-            racks: vec![None; read("rack.count", 1.0).max(1.0) as usize],
+            racks: vec![uplink; read("rack.count", 1.0).max(1.0) as usize],
             titles: Vec::new(),
             by_title: HashMap::new(),
             held: Slab::with_capacity(256),
@@ -236,13 +227,13 @@
             let streamer = &mut self.streamers[at];
             (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
             streamer.ready = line.stage == Stage::Ready;
-            streamer.link_kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
+            streamer.link.kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
             streamer.places = self.rules.places(&line.kind);
             if line.started > streamer.started {
                 // A new process holds nothing and is under doubt no more than half.
                 streamer.started = line.started;
                 streamer.odds = streamer.odds.min(DOUBTED / 2.0);
-                streamer.told = None;
+                streamer.link.told = None;
             }
         }
         self.ask_wake(now);
@@ -285,7 +276,7 @@
         });
         // Traffic past a tenant's share earns little. Symptom: one tenant's crowd takes everybody's links.
         let tenant = self.tenants.iter_mut().find(|t| t.name == wish.tenant);
-        let within = tenant.map_or(1.0, |t| t.within(now, first, self.rules.controllers));
+        let within = tenant.map_or(1.0, |t| t.within(now, first, self.rules.controllers()));
         let past = (1.0 - within) * self.rules.number("over_share_gain", 1.0);
         let terms = &self.lanes[lane];
         self.serial += 1;
@@ -337,8 +328,8 @@
         };
         self.titles[self.held[place].title] = Some((at, now));
         let kb = self.rate(lane, rung);
+        self.book(now, at, kb);
         let streamer = &mut self.streamers[at];
-        streamer.ledger.push_back((now, kb));
         streamer.streams = streamer.streams.map(|n| n + 1.0);
         streamer.count_turn(&self.rules, now);
         let held = &mut self.held[place];
@@ -377,20 +368,19 @@
             }
         }
         let (phi, at) = best?;
-        match (kept, kept_phi) {
-            (Some((k, since)), Some(kept_phi)) => {
-                let fresh = self.streamers[k].told.is_some_and(|t| t > since);
-                Some(if !fresh || phi >= kept_phi * (1.0 - SWITCH_PART) { k } else { at })
-            }
-            _ => Some(at),
-        }
+        let stands = |(k, since): (usize, Point), kept_phi: f64| {
+            let fresh = self.streamers[k].link.told.is_some_and(|t| t > since);
+            !fresh || phi >= kept_phi * (1.0 - SWITCH_PART)
+        };
+        let still = kept.zip(kept_phi).filter(|(kept, kept_phi)| stands(*kept, *kept_phi));
+        Some(still.map_or(at, |((k, _), _)| k))
     }
 
     /// Whether a streamer may get this subscription at all; `careful` leaves out those under doubt.
     fn may_send(&self, now: Point, place: usize, at: usize, careful: bool) -> bool {
         let held = &self.held[place];
         let streamer = &self.streamers[at];
-        let cells = self.rules.cells;
+        let cells = self.rules.number("cells", 1.0).max(1.0) as usize;
         let holds = (streamer.cell + cells - held.home % cells) % cells < held.copies;
         let again = held.shots > 0 && held.streamer == at;
         let odds = streamer.odds_now(now);
@@ -440,36 +430,42 @@
     /// Fullness of a link as told, with own changes since; what was never told, or long ago, counts as the
     /// fleet's mean. Symptom: a silent or new link that looks empty draws everything.
     fn fullness(&self, now: Point, at: usize) -> f64 {
-        let streamer = &self.streamers[at];
-        let link = streamer.link_kb.max(1e-9);
-        let Some(told) = streamer.told else {
-            let others = 1.0 - 1.0 / self.rules.controllers;
-            return self.own_kb(at) / link + others * self.mean_full;
+        let link = &self.streamers[at].link;
+        let Some(told) = link.told else {
+            let others = 1.0 - 1.0 / self.rules.controllers();
+            return self.own_kb(at) / link.kb.max(1e-9) + others * self.mean_full;
         };
-        let own = streamer.ledger.iter().map(|c| c.1).sum::<f64>() / link;
         let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
-        streamer.full + own + stale * (self.mean_full - streamer.full).max(0.0)
+        link.fullness() + stale * (self.mean_full - link.full).max(0.0)
     }
 
     /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
     fn room(&self, now: Point, at: usize, fill: f64) -> f64 {
         let streamer = &self.streamers[at];
         // A cold streamer's link is cold too.
-        let warmth = if streamer.is_cold(&self.rules, now) { self.rules.cold_from } else { 1.0 };
-        let room = (fill * warmth - self.fullness(now, at)) * streamer.link_kb;
-        room.min(self.rack_room(now, at, fill))
+        let warmth =
+            if streamer.is_cold(&self.rules, now) { self.rules.number("cold.from", 1.0) } else { 1.0 };
+        let room = (fill * warmth - self.fullness(now, at)) * streamer.link.kb;
+        let uplink = &self.racks[streamer.rack];
+        room.min((fill - self.uplink_fullness(now, at)) * uplink.kb.max(1e-9))
     }
 
-    fn rack_room(&self, now: Point, at: usize, fill: f64) -> f64 {
-        let rack = self.streamers[at].rack;
-        // What was told of an uplink lapses: a rack that nobody uses any more tells nothing new.
-        let Some((full, told)) = self.racks[rack].filter(|(_, told)| (now - *told).seconds() < STALE / 2.0)
-        else {
-            return f64::INFINITY;
-        };
-        let mates = self.streamers.iter().filter(|s| s.rack == rack);
-        let own: f64 = mates.flat_map(|s| &s.ledger).filter(|c| c.0 > told).map(|c| c.1).sum();
-        (fill - full) * self.rules.rack_kb - own
+    /// Fullness of the uplink behind a streamer, as told. It lapses: a rack that nobody uses tells nothing new.
+    fn uplink_fullness(&self, now: Point, at: usize) -> f64 {
+        let uplink = &self.racks[self.streamers[at].rack];
+        match uplink.told {
+            Some(told) if (now - told).seconds() < STALE / 2.0 => uplink.fullness(),
+            _ => f64::NEG_INFINITY,
+        }
+    }
+
+    /// Enters an own change of rate at a streamer into its accounts.
+    fn book(&mut self, now: Point, at: usize, kb: f64) {
+        let Some(streamer) = self.streamers.get_mut(at) else { return };
+        for pipe in [&mut streamer.link, &mut self.racks[streamer.rack]] {
+            pipe.ledger.retain(|c| (now - c.0).seconds() < 2.0 * STALE);
+            pipe.ledger.push_back((now, kb));
+        }
     }
 
     /// The highest rung whose every step is worth the fleet's price; with no account yet, the ladder's middle.
@@ -485,19 +481,21 @@
     /// Looks over the own part of the fleet: its mean fullness, and the gain per kB that its links are worth
     /// when the own subscriptions are filled up, best steps first, to what the fleet leaves them.
     fn appraise(&mut self, now: Point) {
-        let own: f64 = (0..self.streamers.len()).map(|at| self.own_kb(at)).sum();
+        let own = self.held.iter().filter(|(_, s)| s.seated());
+        let own: f64 = own.map(|(_, s)| self.rate(s.lane, s.rung)).sum();
         let (mut links, mut asked, mut heard) = (0.0, 0.0, 0.0);
         for streamer in self.streamers.iter().filter(|s| s.ready) {
-            links += streamer.link_kb;
-            if streamer.told.is_some_and(|t| (now - t).seconds() < STALE) {
-                heard += streamer.link_kb;
-                asked += streamer.full * streamer.link_kb + streamer.ledger.iter().map(|c| c.1).sum::<f64>();
+            let link = &streamer.link;
+            links += link.kb;
+            if link.told.is_some_and(|t| (now - t).seconds() < STALE) {
+                heard += link.kb;
+                asked += link.fullness() * link.kb;
             }
         }
-        let racks = self.rules.rack_kb * self.racks.len() as f64;
+        let racks: f64 = self.racks.iter().map(|rack| rack.kb).sum();
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
         // While little was told, the others are taken to hold as much as this controller does.
-        let guess = own * self.rules.controllers / capacity;
+        let guess = own * self.rules.controllers() / capacity;
         let trust = (heard / links.max(1e-9) * 2.0).min(1.0);
         let told = if heard > 0.0 { asked / heard * links / capacity } else { 0.0 };
         let full = trust * told + (1.0 - trust) * guess;
@@ -548,16 +546,11 @@
             return;
         };
         let of = now - age;
-        if let (Some(full), false) = (load.link, streamer.told.is_some_and(|t| t > of)) {
-            let past: f64 = streamer.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
-            let known = streamer.full + past / streamer.link_kb.max(1e-9);
-            let part = if streamer.told.is_some() { part } else { 1.0 };
-            streamer.full = (known + part * (full - known)).max(0.0);
-            streamer.told = Some(of);
-            streamer.ledger.retain(|c| c.0 > of);
+        if let Some(full) = load.link {
+            streamer.link.tell(of, full, part);
         }
         if let Some(full) = load.rack {
-            self.racks[streamer.rack] = Some((full.max(0.0), of));
+            self.racks[streamer.rack].tell(of, full, 1.0);
         }
         streamer.streams = load.streams.or(streamer.streams);
         self.relieve(now, at);
@@ -566,7 +559,7 @@
     /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
     /// that everybody has to, cheapest steps first, so that all controllers together free what is missing.
     fn relieve(&mut self, now: Point, at: usize) {
-        let rack = 1.0 - (self.rack_room(now, at, 1.0) / self.rules.rack_kb.max(1e-9)).min(1.0);
+        let rack = self.uplink_fullness(now, at);
         let full = self.fullness(now, at).max(rack);
         if full <= PRESSED {
             return;
@@ -574,13 +567,12 @@
         let mut missing = self.own_kb(at) * (1.0 - 1.0 / full);
         while missing > 0.0 {
             let steady = |s: &Subscription| s.plays_at(at) && s.rung > s.floor && s.changed < now;
+            let price = |s: &Subscription| self.step(s, s.rung).1;
             let own = self.held.iter().filter(|(_, s)| steady(s));
-            let priced = own.map(|(place, s)| (self.step(s, s.rung), place));
-            let Some(((kb, _), place)) = priced.min_by(|a, b| a.0 .1.total_cmp(&b.0 .1)) else {
-                return;
-            };
-            missing -= kb;
-            self.set_rung(now, place, self.held[place].rung - 1);
+            let cheapest = own.min_by(|a, b| price(a.1).total_cmp(&price(b.1)));
+            let Some((place, held)) = cheapest else { return };
+            missing -= self.step(held, held.rung).0;
+            self.set_rung(now, place, held.rung - 1);
         }
     }
 
@@ -592,9 +584,8 @@
         held.climb_at = now + Span::of(if more > 0.0 { QUIET.1 } else { quiet });
         (held.rung, held.changed) = (rung, now);
         self.results.rungs.push((held.id, rung));
-        if let Some(streamer) = self.streamers.get_mut(held.streamer) {
-            streamer.ledger.push_back((now, more));
-        }
+        let at = held.streamer;
+        self.book(now, at, more);
     }
 
     /// Regular work: forgets what is past, appraises the fleet and climbs where there is room.
@@ -606,15 +597,8 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        let first = self.price.is_none();
         self.appraise(now);
         for at in 0..self.streamers.len() {
-            let streamer = &mut self.streamers[at];
-            streamer.ledger.retain(|c| (now - c.0).seconds() < 2.0 * STALE);
-            if first {
-                // Handed over more than the links give: step down before the first late notes tell.
-                self.relieve(now, at);
-            }
             self.climb(now, at);
         }
     }
@@ -622,19 +606,14 @@
     /// One own subscription at a streamer climbs a rung into this controller's part of the fresh room.
     fn climb(&mut self, now: Point, at: usize) {
         let lapse = span(&self.rules.sheet, "notes.age") + span(&self.rules.sheet, "notes.every") * 1.5;
-        if self.streamers[at].told.is_none_or(|told| now - told > lapse) {
+        if self.streamers[at].link.told.is_none_or(|told| now - told > lapse) {
             return;
         }
-        let room = self.room(now, at, FILL) / self.rules.controllers;
-        let able = |place: usize, s: &Subscription| {
-            s.plays_at(at)
-                && now >= s.climb_at
-                && s.rung < self.fair_rung(place)
-                && self.step(s, s.rung + 1).0 <= room
-        };
-        let able = self.held.iter().filter(|(place, s)| able(*place, s));
-        let best =
-            able.max_by(|a, b| self.step(a.1, a.1.rung + 1).1.total_cmp(&self.step(b.1, b.1.rung + 1).1));
+        let room = self.room(now, at, FILL) / self.rules.controllers();
+        let next = |s: &Subscription| self.step(s, s.rung + 1);
+        let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
+        let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place) && next(s).0 <= room);
+        let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
         if let Some((place, held)) = best {
             self.set_rung(now, place, held.rung + 1);
         }
@@ -673,7 +652,7 @@
         }
         let full = 1.0 / share.max(0.3);
         // A link that is told to have room, and yet delivers short, stands behind an uplink told to be full.
-        let uplink = on.racks[on.streamers[at].rack].map_or(0.0, |told| told.0);
+        let uplink = on.uplink_fullness(now, at);
         let behind = uplink >= FILL && uplink > on.fullness(now, at);
         let load = if behind { Load::rack(full) } else { Load::link(full) };
         on.hear(now, at, load, span(&on.rules.sheet, "notes.age"), 1.0);
@@ -695,8 +674,8 @@
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
         let kb = on.rate(lane, rung);
+        on.book(now, at, -kb);
         if let Some(streamer) = on.streamers.get_mut(at) {
-            streamer.ledger.push_back((now, -kb));
             match ending {
                 Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.weigh(now, BAD),
                 // A broken stream was held by a process that is no more: it restarts cold, if at all.
@@ -752,6 +731,10 @@
         number(&self.sheet, name).unwrap_or(fallback)
     }
 
+    fn controllers(&self) -> f64 {
+        self.number("controllers", 1.0).max(1.0)
+    }
+
     fn retry_after(&self) -> Option<Span> {
         let longest = span(&self.sheet, "retry_after.longest");
         (flag(&self.sheet, "retry_after.allowed") && longest > Span::ZERO).then_some(longest)
@@ -775,6 +758,26 @@
     }
 }
 
+impl Pipe {
+    fn fullness(&self) -> f64 {
+        self.full + self.ledger.iter().map(|c| c.1).sum::<f64>() / self.kb.max(1e-9)
+    }
+
+    /// Takes in what was told of a moment; a noisy figure moves what is known by a part only.
+    fn tell(&mut self, of: Point, full: f64, part: f64) {
+        let part = match self.told {
+            Some(told) if told > of => return,
+            Some(_) => part,
+            None => 1.0,
+        };
+        let past: f64 = self.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
+        let known = self.full + past / self.kb.max(1e-9);
+        self.full = (known + part * (full - known)).max(0.0);
+        self.told = Some(of);
+        self.ledger.retain(|c| c.0 > of);
+    }
+}
+
 impl Streamer {
     /// One step of the sequential test; the odds never fall below even.
     fn weigh(&mut self, now: Point, step: f64) {
@@ -787,7 +790,7 @@
     }
 
     fn is_cold(&self, rules: &HouseRules, now: Point) -> bool {
-        self.started.is_some_and(|s| now - s < rules.cold)
+        self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span"))
     }
 
     /// Controllers take turns at a cold streamer by number. A turn is two windows long and only its first
@@ -797,13 +800,13 @@
         if !self.is_cold(rules, now) {
             return true;
         }
-        let pace = self.places / rules.cold.seconds().max(1e-3) * rules.cold_from;
+        let pace = self.places / rules.number("cold.span", 0.0).max(1e-3) * rules.number("cold.from", 1.0);
         let window = span(&rules.sheet, "cold.window");
         let budget = pace * rules.number("cold.multiple", 1.0) * window.seconds() * 0.7;
         let length = window * 2.0;
         let turn = now.turn(length);
         let spent = if self.turn.0 == turn { self.turn.1 } else { 0 };
-        let number = turn.rem_euclid(rules.controllers as i64) as f64;
+        let number = turn.rem_euclid(rules.controllers() as i64) as f64;
         let mine = number == rules.number("me", 0.0) && now.into_turn(length) < window;
         mine && f64::from(spent) + 1.0 <= budget
     }
