--- a/src/control.rs
+++ b/src/control.rs
@@ -167,9 +167,7 @@
     pub fn start(now: Point, seed: u64, sheet: &Sheet) -> Controller {
         let read = |name: &str, fallback: f64| number(sheet, name).unwrap_or(fallback);
         let mut ladder = Ladder { kb: row(sheet, "ladder.kb"), gain: row(sheet, "ladder.gain") };
-        if ladder.kb.is_empty() {
-            ladder.kb.push(1.0);
-        }
+        ladder.kb.resize(ladder.kb.len().max(1), 1.0);
         ladder.gain.resize(ladder.kb.len(), 1.0);
         let highest = ladder.kb.len() - 1;
         let lane = |i: usize| {
@@ -480,7 +478,7 @@
 
     /// Looks over the own part of the fleet: its mean fullness, and the gain per kB that its links are worth
     /// when the own subscriptions are filled up, best steps first, to what the fleet leaves them.
-    fn appraise(&mut self, now: Point) {
+    fn appraise(&mut self, now: Point) -> f64 {
         let own = self.held.iter().filter(|(_, s)| s.seated());
         let own: f64 = own.map(|(_, s)| self.rate(s.lane, s.rung)).sum();
         let (mut links, mut asked, mut heard) = (0.0, 0.0, 0.0);
@@ -501,7 +499,7 @@
         let full = trust * told + (1.0 - trust) * guess;
         self.mean_full = full * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
-            return;
+            return full;
         }
         let mut left = own * (FILL / full).clamp(0.4, 40.0);
         let mut steps = Vec::new();
@@ -516,6 +514,7 @@
         });
         let price = dearest.map_or(0.0, |step| step.1);
         self.price = Some(self.price.map_or(price, |old| old + SMOOTH * (price - old)));
+        full
     }
 
     /// Further shots stay within the ration in every window that ends now.
@@ -553,14 +552,12 @@
             self.racks[streamer.rack].tell(of, full, 1.0);
         }
         streamer.streams = load.streams.or(streamer.streams);
-        self.relieve(now, at);
+        self.relieve(now, at, self.fullness(now, at).max(self.uplink_fullness(now, at)));
     }
 
     /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
     /// that everybody has to, cheapest steps first, so that all controllers together free what is missing.
-    fn relieve(&mut self, now: Point, at: usize) {
-        let rack = self.uplink_fullness(now, at);
-        let full = self.fullness(now, at).max(rack);
+    fn relieve(&mut self, now: Point, at: usize, full: f64) {
         if full <= PRESSED {
             return;
         }
@@ -597,8 +594,13 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        self.appraise(now);
+        let first = self.price.is_none();
+        let full = self.appraise(now);
         for at in 0..self.streamers.len() {
+            if first {
+                // Handed over more than the fleet gives: step down before the first late notes tell.
+                self.relieve(now, at, full);
+            }
             self.climb(now, at);
         }
     }
@@ -609,7 +611,9 @@
         if self.streamers[at].link.told.is_none_or(|told| now - told > lapse) {
             return;
         }
-        let room = self.room(now, at, FILL) / self.rules.controllers();
+        // All see the same room: each takes its even part, or now and then, by chance, all of it.
+        let whole = self.chance.between(0.0, lapse.seconds() * self.rules.controllers()) < BEAT.seconds();
+        let room = self.room(now, at, FILL) / if whole { 1.0 } else { self.rules.controllers() };
         let next = |s: &Subscription| self.step(s, s.rung + 1);
         let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
         let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place) && next(s).0 <= room);
@@ -637,9 +641,8 @@
 
     /// The rung in force, as the streamer tells it.
     pub fn at_rung(self, on: &mut Controller, rung: usize) {
-        let highest = on.ladder.kb.len() - 1;
         if let Some(held) = self.find(on) {
-            held.rung = rung.clamp(held.floor, highest);
+            held.rung = rung.clamp(held.floor, held.top);
         }
     }
 
@@ -688,10 +691,9 @@
             }
         }
         on.hear(now, at, load, ANSWER_AGE, ANSWER_PART);
-        let Some(held) = self.find(on) else { return };
         if finished {
             on.held.remove(self.place);
-        } else if held.may_have_run && on.lanes[lane].paid {
+        } else if on.held[self.place].may_have_run && on.lanes[lane].paid {
             on.give_up(self.place);
         } else {
             on.place(now, self.place);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -136,3 +136,37 @@
     handle.ended(&mut on, now, Ending::Unknown, false, Load::default());
     handle.plays(&mut on, now);
 }
+
+/// Short notes of one link that gave less on and off were put down to an uplink with plenty of room.
+#[test]
+fn short_delivery_is_put_down_to_an_uplink_only_when_that_is_full() {
+    let (mut on, now) = lone(&[("rack.kb", 60_000.0), ("rack.count", 1.0)]);
+    let here = on.inherit(now, &wish(1, FREE, "t", 0, now), "s0");
+    let mate = on.inherit(now, &wish(2, FREE, "u", 1, now), "s1");
+    for handle in [here, mate] {
+        handle.at_rung(&mut on, 3);
+        handle.load(&mut on, now + seconds(2.0), Load::link(0.3));
+    }
+    here.load(&mut on, now + seconds(2.0), Load::rack(0.6));
+    here.short(&mut on, now + seconds(2.5), 0.6);
+    assert_eq!(on.results.rungs, [(1, 2)], "the short link steps down");
+    mate.load(&mut on, now + seconds(3.0), Load::link(0.3));
+    assert_eq!(on.results.rungs.len(), 1, "its mate in the rack does not");
+}
+
+/// A start was dropped from the rack's account with the next figure of its link.
+#[test]
+fn an_uplink_keeps_its_own_account() {
+    let (mut on, now) = lone(&[("rack.kb", 5_000.0), ("rack.count", 1.0)]);
+    let playing = on.inherit(now, &wish(1, FREE, "t", 0, now), "s0");
+    playing.load(&mut on, now + seconds(2.0), Load { rack: Some(0.5), ..Load::link(0.1) });
+    let mut starts = 0;
+    for id in 2..40 {
+        on.results.clear();
+        let handle = on.take(now + seconds(2.0), &wish(id, FREE, "t", 0, now + seconds(9.0)));
+        starts += on.results.shots.len();
+        handle.plays(&mut on, now + seconds(2.0));
+        handle.load(&mut on, now + seconds(2.0), Load::link(0.1));
+    }
+    assert!((1..15).contains(&starts), "half of the uplink does not hold {starts} starts");
+}
