A controller that came back holds every streamer for possibly cold for one warm-up

It now sends no streamer more than half of a turn's budget per turn for one warm-up. Guards against any restart the list has not told of yet; could harm when many viewers return to it for one title (they go to other holders).

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -228,6 +228,10 @@
             _ => {}
         }
         encode(now, &controller.results, output);
+        for id in controller.results.turned_back.iter().map(|(id, _)| id).chain(&controller.results.scrapped)
+        {
+            handles.remove(id);
+        }
         controller.results.clear();
         Ok(())
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -82,6 +82,7 @@
 /// What the operators state and allow; each rule is read where it is needed.
 struct HouseRules {
     sheet: Sheet,
+    born: Point,
 }
 
 /// A link or a rack's uplink: its size, its fullness as last told, and own changes of rate since that moment.
@@ -190,7 +191,7 @@
         };
         let uplink = Pipe { kb: read("rack.kb", 0.0), ..Pipe::default() };
         Controller {
-            rules: HouseRules { sheet: sheet.clone() },
+            rules: HouseRules { sheet: sheet.clone(), born: now },
             ladder,
             lanes: (0..).map_while(lane).collect(),
             tenants: (0..).map_while(tenant).collect(),
@@ -594,13 +595,11 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        let first = self.price.is_none();
+        // Handed over more than the fleet gives: step down before the first late notes tell.
+        let early = self.price.is_none();
         let full = self.appraise(now);
         for at in 0..self.streamers.len() {
-            if first {
-                // Handed over more than the fleet gives: step down before the first late notes tell.
-                self.relieve(now, at, full);
-            }
+            self.relieve(now, at, if early { full } else { 0.0 });
             self.climb(now, at);
         }
     }
@@ -641,9 +640,8 @@
 
     /// The rung in force, as the streamer tells it.
     pub fn at_rung(self, on: &mut Controller, rung: usize) {
-        if let Some(held) = self.find(on) {
-            held.rung = rung.clamp(held.floor, held.top);
-        }
+        let Some(held) = self.find(on) else { return };
+        held.rung = rung.clamp(held.floor, held.top);
     }
 
     /// The streamer delivers only this share of the rates.
@@ -676,8 +674,7 @@
         let finished = over || matches!(held.state, State::Playing | State::Left);
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
-        let kb = on.rate(lane, rung);
-        on.book(now, at, -kb);
+        on.book(now, at, -on.rate(lane, rung));
         if let Some(streamer) = on.streamers.get_mut(at) {
             match ending {
                 Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.weigh(now, BAD),
@@ -799,18 +796,21 @@
     /// half may send, so that every window meets one turn at most; a whole turn holds less than the budget
     /// of the streamer at its coldest. Symptom: all controllers at once pour into a streamer that came back.
     fn my_turn(&self, rules: &HouseRules, now: Point) -> bool {
-        if !self.is_cold(rules, now) {
+        let cold = self.is_cold(rules, now);
+        // A controller that came back itself has an old list: to it every streamer may be cold for a while.
+        let young = now - rules.born < span(&rules.sheet, "cold.span");
+        if !cold && !young {
             return true;
         }
         let pace = self.places / rules.number("cold.span", 0.0).max(1e-3) * rules.number("cold.from", 1.0);
         let window = span(&rules.sheet, "cold.window");
         let budget = pace * rules.number("cold.multiple", 1.0) * window.seconds() * 0.7;
-        let length = window * 2.0;
-        let turn = now.turn(length);
+        let turn = now.turn(window * 2.0);
         let spent = if self.turn.0 == turn { self.turn.1 } else { 0 };
         let number = turn.rem_euclid(rules.controllers() as i64) as f64;
-        let mine = number == rules.number("me", 0.0) && now.into_turn(length) < window;
-        mine && f64::from(spent) + 1.0 <= budget
+        let mine = number == rules.number("me", 0.0) && now.into_turn(window * 2.0) < window;
+        let limit = if cold { budget } else { (budget / 2.0).max(1.0) };
+        (mine || !cold) && f64::from(spent) + 1.0 <= limit
     }
 
     fn count_turn(&mut self, rules: &HouseRules, now: Point) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -95,7 +95,8 @@
 /// One unlucky outcome must not condemn a streamer, and a row of them must.
 #[test]
 fn a_streamer_is_judged_by_a_sequential_test() {
-    let (mut on, now) = lone(&[("cells", 1.0)]);
+    let (mut on, start) = lone(&[("cells", 1.0)]);
+    let now = start + seconds(COLD + 1.0);
     let fail = |on: &mut Controller, id: u32, at: Point| {
         on.results.clear();
         let handle = on.take(at, &wish(id, FREE, &format!("t{id}"), 0, at + seconds(9.0)));
@@ -170,3 +171,24 @@
     }
     assert!((1..15).contains(&starts), "half of the uplink does not hold {starts} starts");
 }
+
+/// A controller that has just come back holds an old list: it can't know which streamers restarted meanwhile.
+#[test]
+fn a_controller_that_came_back_does_not_pour_into_one_streamer() {
+    let now = Point::at(100.0);
+    let mut on = Controller::start(now, 7, &sheet(1, 3, &[("link.kb_per_weight", 1e6)]));
+    on.learn(now, &fleet(), true);
+    for id in 0..60 {
+        on.take(now, &wish(id, FREE, "t", 0, now + seconds(9.0)));
+    }
+    for cell in 0..STREAMERS {
+        let sends = on.results.shots.iter().filter(|s| s.streamer == format!("s{cell}")).count();
+        assert!(sends <= 3, "{sends} at once to s{cell}, which may be cold");
+    }
+    on.results.clear();
+    let later = now + seconds(COLD + 1.0);
+    for id in 100..120 {
+        on.take(later, &wish(id, FREE, "t", 0, later + seconds(9.0)));
+    }
+    assert_eq!(on.results.shots.len(), 20, "a controller that knows its streamers");
+}
