Caution of a controller that came back lasts half a warm-up

The list catches up within a few seconds, so half a warm-up will do. Could harm if a list lags by more than half a warm-up after a restart.

--- a/src/control.rs
+++ b/src/control.rs
@@ -798,7 +798,7 @@
     fn my_turn(&self, rules: &HouseRules, now: Point) -> bool {
         let cold = self.is_cold(rules, now);
         // A controller that came back itself has an old list: to it every streamer may be cold for a while.
-        let young = now - rules.born < span(&rules.sheet, "cold.span");
+        let young = now - rules.born < span(&rules.sheet, "cold.span") * 0.5;
         if !cold && !young {
             return true;
         }
