--- a/src/control.rs
+++ b/src/control.rs
@@ -449,7 +449,7 @@
         room.min((fill - self.uplink_fullness(now, at)) * uplink.kb.max(1e-9))
     }
 
-    /// Fullness of the uplink behind a streamer, as told. It lapses: a rack that nobody uses tells nothing new.
+    /// Fullness of the uplink behind a streamer, as told. It lapses: a rack out of use tells nothing new.
     fn uplink_fullness(&self, now: Point, at: usize) -> f64 {
         let uplink = &self.racks[self.streamers[at].rack];
         match uplink.told {
@@ -467,7 +467,7 @@
         }
     }
 
-    /// The highest rung whose every step is worth the fleet's price; with no account yet, the ladder's middle.
+    /// The highest rung whose every step is worth the fleet's price; with no account, the ladder's middle.
     fn fair_rung(&self, place: usize) -> usize {
         let held = &self.held[place];
         let Some(price) = self.price else {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -34,11 +34,11 @@
         Just(Ending::Cancelled),
         Just(Ending::Unknown),
     ];
-    let stage = prop_oneof![3 => Just(Stage::Ready), 1 => Just(Stage::Draining), 1 => Just(Stage::Gone)];
+    let ready = Just(Stage::Ready);
+    let stage = prop_oneof![3 => ready, 1 => Just(Stage::Draining), 1 => Just(Stage::Gone)];
     prop_oneof![
-        6 => (0..2usize, any::<bool>(), 0..4usize, 0.2..4.0).prop_map(|(to, paid, title, patience)| Step::Wish {
-            to, paid, title, patience
-        }),
+        6 => (0..2usize, any::<bool>(), 0..4usize, 0.2..4.0)
+            .prop_map(|(to, paid, title, patience)| Step::Wish { to, paid, title, patience }),
         3 => (any::<usize>(), ending).prop_map(|(pick, ending)| Step::End { pick, ending }),
         3 => any::<usize>().prop_map(|pick| Step::Play { pick }),
         1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
