What others sent since the news takes a random part of n

Cause: with hundreds of controllers nearly all streamers are unheard or equally heard, so all of them rank the same holder first (busiest streamer at 10 times the mean, a third of the shots turned away as full). Also guards against herds after a wave of lost streamers. Could harm where news is rare but right.

--- a/src/control.rs
+++ b/src/control.rs
@@ -347,14 +347,22 @@
     }
 
     /// The kept holder of the title while it stands, else the one of smallest phi with room at this rung.
-    fn holder(&self, now: Point, place: usize, rung: usize) -> Option<usize> {
+    fn holder(&mut self, now: Point, place: usize, rung: usize) -> Option<usize> {
         let kept = self.titles[self.held[place].title];
         let mut best: Option<(f64, usize)> = None;
         let mut kept_phi = None;
         for careful in [true, false] {
-            for at in (0..self.streamers.len()).filter(|at| self.may_send(now, place, *at, careful)) {
+            for at in 0..self.streamers.len() {
+                if !self.may_send(now, place, at, careful) {
+                    continue;
+                }
                 let a = self.capacity(now, place, at, rung);
-                let phi = 1.0 / ((self.shared(place, at, rung) + 1.0) * a);
+                // What the others sent since the news is not known: it takes a random part, broader with age.
+                // Symptom: hundreds of controllers with the same news, or none, rank the same holder first.
+                let age = self.streamers[at].link.told.map_or(1.0, |told| (now - told).seconds() / STALE);
+                let others = age.clamp(0.0, 1.0) * (1.0 - 1.0 / self.rules.controllers());
+                let sent = others * self.chance.between(0.0, 1.0);
+                let phi = 1.0 / ((self.shared(place, at, rung) + 1.0) * a * (1.0 - sent));
                 if a >= 1.0 && kept.is_some_and(|(k, _)| k == at) {
                     kept_phi = Some(phi);
                 }
