Steps and climbs take the own share of what is missing or free, rounded by chance

Cause: at full size whole steps by hundreds of controllers freed far more than was missing, and climbs waited for an even part of the room that no step fits into. Could harm where news is wrong for long: each news is answered once only.

--- a/src/control.rs
+++ b/src/control.rs
@@ -105,6 +105,11 @@
     started: Option<Point>,
     link: Pipe,
     streams: Option<f64>,
+    /// Own subscriptions there, set-ups included, and their rates.
+    own_count: f64,
+    own_kb: f64,
+    /// When its news was last answered by steps or climbs: what is older is not answered again.
+    acted: Point,
     odds: f64,
     odds_at: Point,
     full_until: Point,
@@ -259,6 +264,12 @@
         let held = &mut self.held[handle.place];
         held.streamer = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
         (held.state, held.shots) = (State::Playing, 1);
+        let (at, lane, rung) = (held.streamer, held.lane, held.rung);
+        let kb = self.rate(lane, rung);
+        if let Some(streamer) = self.streamers.get_mut(at) {
+            streamer.own_kb += kb;
+            streamer.own_count += 1.0;
+        }
         handle
     }
 
@@ -327,7 +338,7 @@
         };
         self.titles[self.held[place].title] = Some((at, now));
         let kb = self.rate(lane, rung);
-        self.book(now, at, kb);
+        self.book(now, at, kb, 1.0);
         let streamer = &mut self.streamers[at];
         streamer.streams = streamer.streams.map(|n| n + 1.0);
         streamer.count_turn(&self.rules, now);
@@ -399,7 +410,7 @@
     /// a(i) = min(k, n): free streams, and spare link and uplink in subscriptions at this rung.
     fn capacity(&self, now: Point, place: usize, at: usize, rung: usize) -> f64 {
         let held = &self.held[place];
-        let own = self.held.iter().filter(|(_, s)| s.streamer == at && s.seated()).count() as f64;
+        let own = self.streamers[at].own_count;
         let k = self.streamers[at].places - self.streamers[at].streams.map_or(own, |told| told.max(own));
         let fill = if rung == held.floor { BRIM } else { FILL };
         k.min(self.room(now, at, fill) / self.rate(held.lane, rung))
@@ -429,30 +440,28 @@
         (kb, held.gain * gain / kb.max(1e-9))
     }
 
-    fn own_kb(&self, at: usize) -> f64 {
-        let own = self.held.iter().filter(|(_, s)| s.streamer == at && s.seated());
-        own.map(|(_, s)| self.rate(s.lane, s.rung)).sum()
-    }
-
     /// Fullness of a link as told, with own changes since; what was never told, or long ago, counts as the
     /// fleet's mean. Symptom: a silent or new link that looks empty draws everything.
     fn fullness(&self, now: Point, at: usize) -> f64 {
         let link = &self.streamers[at].link;
         let Some(told) = link.told else {
             let others = 1.0 - 1.0 / self.rules.controllers();
-            return self.own_kb(at) / link.kb.max(1e-9) + others * self.mean_full;
+            return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.mean_full;
         };
         let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
         link.fullness() + stale * (self.mean_full - link.full).max(0.0)
     }
 
+    /// A cold streamer's link is cold too.
+    fn warmth(&self, now: Point, at: usize) -> f64 {
+        let cold = self.streamers[at].is_cold(&self.rules, now);
+        if cold { self.rules.number("cold.from", 1.0) } else { 1.0 }
+    }
+
     /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
     fn room(&self, now: Point, at: usize, fill: f64) -> f64 {
         let streamer = &self.streamers[at];
-        // A cold streamer's link is cold too.
-        let warmth =
-            if streamer.is_cold(&self.rules, now) { self.rules.number("cold.from", 1.0) } else { 1.0 };
-        let room = (fill * warmth - self.fullness(now, at)) * streamer.link.kb;
+        let room = (fill * self.warmth(now, at) - self.fullness(now, at)) * streamer.link.kb;
         let uplink = &self.racks[streamer.rack];
         room.min((fill - self.uplink_fullness(now, at)) * uplink.kb.max(1e-9))
     }
@@ -466,9 +475,11 @@
         }
     }
 
-    /// Enters an own change of rate at a streamer into its accounts.
-    fn book(&mut self, now: Point, at: usize, kb: f64) {
+    /// Enters an own change at a streamer into its accounts.
+    fn book(&mut self, now: Point, at: usize, kb: f64, count: f64) {
         let Some(streamer) = self.streamers.get_mut(at) else { return };
+        streamer.own_kb += kb;
+        streamer.own_count += count;
         for pipe in [&mut streamer.link, &mut self.racks[streamer.rack]] {
             pipe.ledger.retain(|c| (now - c.0).seconds() < 2.0 * STALE);
             pipe.ledger.push_back((now, kb));
@@ -561,24 +572,29 @@
             self.racks[streamer.rack].tell(of, full, 1.0);
         }
         streamer.streams = load.streams.or(streamer.streams);
-        self.relieve(now, at, self.fullness(now, at).max(self.uplink_fullness(now, at)));
+        self.relieve(now, at, of, self.fullness(now, at).max(self.uplink_fullness(now, at)));
     }
 
     /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
-    /// that everybody has to, cheapest steps first, so that all controllers together free what is missing.
-    fn relieve(&mut self, now: Point, at: usize, full: f64) {
-        if full <= PRESSED {
+    /// that everybody has to, cheapest steps first; a step larger than what is left goes by chance, so that
+    /// all controllers together free what is missing. Symptom: hundreds of whole steps for one small need.
+    fn relieve(&mut self, now: Point, at: usize, of: Point, full: f64) {
+        if full <= PRESSED || of <= self.streamers[at].acted {
             return;
         }
-        let mut missing = self.own_kb(at) * (1.0 - 1.0 / full);
+        self.streamers[at].acted = now;
+        let mut missing = self.streamers[at].own_kb * (1.0 - 1.0 / full);
         while missing > 0.0 {
             let steady = |s: &Subscription| s.plays_at(at) && s.rung > s.floor && s.changed < now;
             let price = |s: &Subscription| self.step(s, s.rung).1;
             let own = self.held.iter().filter(|(_, s)| steady(s));
             let cheapest = own.min_by(|a, b| price(a.1).total_cmp(&price(b.1)));
             let Some((place, held)) = cheapest else { return };
-            missing -= self.step(held, held.rung).0;
-            self.set_rung(now, place, held.rung - 1);
+            let (kb, rung) = (self.step(held, held.rung).0, held.rung - 1);
+            if self.chance.between(0.0, kb) < missing {
+                self.set_rung(now, place, rung);
+            }
+            missing -= kb;
         }
     }
 
@@ -591,7 +607,7 @@
         (held.rung, held.changed) = (rung, now);
         self.results.rungs.push((held.id, rung));
         let at = held.streamer;
-        self.book(now, at, more);
+        self.book(now, at, more, 0.0);
     }
 
     /// Regular work: forgets what is past, appraises the fleet and climbs where there is room.
@@ -607,26 +623,33 @@
         let early = self.price.is_none();
         let full = self.appraise(now);
         for at in 0..self.streamers.len() {
-            self.relieve(now, at, if early { full } else { 0.0 });
+            self.relieve(now, at, now, if early { full } else { 0.0 });
             self.climb(now, at);
         }
     }
 
-    /// One own subscription at a streamer climbs a rung into this controller's part of the fresh room.
+    /// Own subscriptions at a streamer climb into the fresh room that is theirs by what they ask for now, once
+    /// for each news of it, best steps first; a step larger than what is left of it goes by chance.
     fn climb(&mut self, now: Point, at: usize) {
         let lapse = span(&self.rules.sheet, "notes.age") + span(&self.rules.sheet, "notes.every") * 1.5;
-        if self.streamers[at].link.told.is_none_or(|told| now - told > lapse) {
+        let streamer = &self.streamers[at];
+        if streamer.link.told.is_none_or(|told| now - told > lapse || told <= streamer.acted) {
             return;
         }
-        // All see the same room: each takes its even part, or now and then, by chance, all of it.
-        let whole = self.chance.between(0.0, lapse.seconds() * self.rules.controllers()) < BEAT.seconds();
-        let room = self.room(now, at, FILL) / if whole { 1.0 } else { self.rules.controllers() };
-        let next = |s: &Subscription| self.step(s, s.rung + 1);
-        let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
-        let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place) && next(s).0 <= room);
-        let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
-        if let Some((place, held)) = best {
-            self.set_rung(now, place, held.rung + 1);
+        let full = self.fullness(now, at).max(self.uplink_fullness(now, at)).max(0.02);
+        let mut room = streamer.own_kb * (FILL * self.warmth(now, at) / full - 1.0);
+        while room > 0.0 {
+            let next = |s: &Subscription| self.step(s, s.rung + 1);
+            let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
+            let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place));
+            let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
+            let Some((place, held)) = best else { return };
+            let (kb, rung) = (next(held).0, held.rung + 1);
+            self.streamers[at].acted = now;
+            if self.chance.between(0.0, kb) < room {
+                self.set_rung(now, place, rung);
+            }
+            room -= kb;
         }
     }
 }
@@ -649,7 +672,13 @@
     /// The rung in force, as the streamer tells it.
     pub fn at_rung(self, on: &mut Controller, rung: usize) {
         let Some(held) = self.find(on) else { return };
+        let before = held.rung;
         held.rung = rung.clamp(held.floor, held.top);
+        let (at, lane, rung) = (held.streamer, held.lane, held.rung);
+        let more = on.rate(lane, rung) - on.rate(lane, before);
+        if let Some(streamer) = on.streamers.get_mut(at) {
+            streamer.own_kb += more;
+        }
     }
 
     /// The streamer delivers only this share of the rates.
@@ -682,7 +711,7 @@
         let finished = over || matches!(held.state, State::Playing | State::Left);
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
-        on.book(now, at, -on.rate(lane, rung));
+        on.book(now, at, -on.rate(lane, rung), -1.0);
         if let Some(streamer) = on.streamers.get_mut(at) {
             match ending {
                 Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.weigh(now, BAD),
