The fleet's mean weighs what is heard against hearing crowded streamers more often

Cause: a controller hears only from the few streamers that it uses, crowded ones more often, and before that own figure x number of controllers stood for the fleet; prices were far too high and rungs too low. With all streamers heard the mean is the plain one.

--- a/src/control.rs
+++ b/src/control.rs
@@ -501,22 +501,26 @@
     fn appraise(&mut self, now: Point) -> f64 {
         let own = self.held.iter().filter(|(_, s)| s.seated());
         let own: f64 = own.map(|(_, s)| self.rate(s.lane, s.rung)).sum();
-        let (mut links, mut asked, mut heard) = (0.0, 0.0, 0.0);
+        let (mut links, mut asked, mut heard, mut inverse, mut told) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for streamer in self.streamers.iter().filter(|s| s.ready) {
             let link = &streamer.link;
             links += link.kb;
             if link.told.is_some_and(|t| (now - t).seconds() < STALE) {
                 heard += link.kb;
                 asked += link.fullness() * link.kb;
+                inverse += link.kb / link.fullness().max(0.05);
+                told += 1.0;
             }
         }
         let racks: f64 = self.racks.iter().map(|rack| rack.kb).sum();
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
         // While little was told, the others are taken to hold as much as this controller does.
         let guess = own * self.rules.controllers() / capacity;
-        let trust = (heard / links.max(1e-9) * 2.0).min(1.0);
-        let told = if heard > 0.0 { asked / heard * links / capacity } else { 0.0 };
-        let full = trust * told + (1.0 - trust) * guess;
+        let trust = told / (told + 1.0);
+        // A controller that hears a small part of the fleet hears the crowded ones more often.
+        let part = heard / links.max(1e-9);
+        let mean = if heard > 0.0 { part * asked / heard + (1.0 - part) * heard / inverse } else { 0.0 };
+        let full = trust * mean * links / capacity + (1.0 - trust) * guess;
         self.mean_full = full * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
