--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 /// What set-ups at the lowest rung may fill; a share delivered under this is short.
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
-const PRESSED: f64 = 1.0;
+const PRESSED: f64 = 1.05;
 /// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
 const QUIET: (f64, f64) = (2.0, 4.0);
 /// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
