--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,8 @@
 const SWITCH_PART: f64 = 0.1;
 /// Part of a link that set-ups and climbs may fill: true rates swing around the ladder's.
 const FILL: f64 = 0.88;
+/// What a holder in another zone counts for where crossing is charged.
+const FAR: f64 = 0.5;
 /// What set-ups at the lowest rung may fill; a share delivered under this is short.
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
@@ -99,6 +101,7 @@
     name: String,
     rack: usize,
     cell: usize,
+    near: bool,
     ready: bool,
     places: f64,
     /// Last start: from the list, or the moment at which this controller saw it break.
@@ -231,6 +234,8 @@
             let streamer = &mut self.streamers[at];
             (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
             streamer.ready = line.stage == Stage::Ready;
+            let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
+            streamer.near = !crossing || text(&self.rules.sheet, "zone") == Some(&line.zone);
             streamer.link.kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
             streamer.places = self.rules.places(&line.kind);
             if line.started > streamer.started {
@@ -373,7 +378,8 @@
                 let age = self.streamers[at].link.told.map_or(1.0, |told| (now - told).seconds() / STALE);
                 let others = age.clamp(0.0, 1.0) * (1.0 - 1.0 / self.rules.controllers());
                 let sent = others * self.chance.between(0.0, 1.0);
-                let phi = 1.0 / ((self.shared(place, at, rung) + 1.0) * a * (1.0 - sent));
+                let near = if self.streamers[at].near { 1.0 } else { FAR };
+                let phi = 1.0 / ((self.shared(place, at, rung) + 1.0) * a * (1.0 - sent) * near);
                 if a >= 1.0 && kept.is_some_and(|(k, _)| k == at) {
                     kept_phi = Some(phi);
                 }
