Holders of a title, own count and own rates per streamer looked up once; accounts in their own file

The ordinary path walks the holders of its title only and allocates nothing. The plain bookkeeping of links went to src/pipe.rs; no decision or tuned value went with it.

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -219,7 +219,7 @@
                         }
                     }
                     (_, 1) => handle.short(controller, now, news.level),
-                    (_, 2) => handle.at_rung(controller, news.level.max(0.0) as usize),
+                    (_, 2) => handle.at_rung(controller, now, news.level.max(0.0) as usize),
                     (_, 3) => handle.load(controller, now, Load::link(news.level)),
                     (_, 4) => handle.load(controller, now, Load::rack(news.level)),
                     _ => {}
@@ -292,7 +292,7 @@
         // A span that would round to nothing must not read as "no time-out".
         let within = shot.within.seconds();
         let within = if within == 0.0 { -1.0 } else { within };
-        output.push(json!({"Assign": {"op_id": shot.id, "allow_for": within, "streamer": shot.streamer}}));
+        output.push(json!({"Assign": {"op_id": shot.id, "allow_for": within, "streamer": &*shot.streamer}}));
     }
     for (id, after) in &results.turned_back {
         let after = after.map(Span::seconds);
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,8 +12,10 @@
 use crate::interface::{
     flag, number, row, span, text, Ending, Line, Load, Results, Sheet, Shot, Stage, Wish,
 };
+use crate::pipe::Pipe;
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 
 /// A kept holder gives way only to a phi lower than its own by more than this part.
 const SWITCH_PART: f64 = 0.1;
@@ -87,18 +89,17 @@
     born: Point,
 }
 
-/// A link or a rack's uplink: its size, its fullness as last told, and own changes of rate since that moment.
-#[derive(Clone, Default)]
-struct Pipe {
-    kb: f64,
-    full: f64,
-    told: Option<Point>,
-    ledger: VecDeque<(Point, f64)>,
+/// The streamers that hold a title, out of so many on the list, and the kept one with when it was chosen.
+#[derive(Default)]
+struct Title {
+    holders: Vec<usize>,
+    of: usize,
+    kept: Option<(usize, Point)>,
 }
 
 #[derive(Default)]
 struct Streamer {
-    name: String,
+    name: Rc<str>,
     rack: usize,
     cell: usize,
     near: bool,
@@ -135,8 +136,6 @@
     lane: usize,
     title: usize,
     gain: f64,
-    home: usize,
-    copies: usize,
     floor: usize,
     top: usize,
     cut_off: Point,
@@ -157,8 +156,7 @@
     streamers: Vec<Streamer>,
     by_name: HashMap<String, usize>,
     racks: Vec<Pipe>,
-    /// The kept holder of each title and when it was chosen.
-    titles: Vec<Option<(usize, Point)>>,
+    titles: Vec<Title>,
     by_title: HashMap<String, usize>,
     held: Slab<Subscription>,
     serial: u64,
@@ -197,7 +195,7 @@
             let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
             Some(Tenant { name, quota_per_s, count: 0.0, counted: now })
         };
-        let uplink = Pipe { kb: read("rack.kb", 0.0), ..Pipe::default() };
+        let uplink = Pipe::of_size(read("rack.kb", 0.0));
         Controller {
             rules: HouseRules { sheet: sheet.clone(), born: now },
             ladder,
@@ -228,8 +226,7 @@
         for line in lines {
             let at = *self.by_name.entry(line.streamer.clone()).or_insert(self.streamers.len());
             if at == self.streamers.len() {
-                self.streamers.push(Streamer::default());
-                self.streamers[at].name.clone_from(&line.streamer);
+                self.streamers.push(Streamer { name: line.streamer.as_str().into(), ..Streamer::default() });
             }
             let streamer = &mut self.streamers[at];
             (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
@@ -270,20 +267,23 @@
         held.streamer = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
         (held.state, held.shots) = (State::Playing, 1);
         let (at, lane, rung) = (held.streamer, held.lane, held.rung);
-        let kb = self.rate(lane, rung);
-        if let Some(streamer) = self.streamers.get_mut(at) {
-            streamer.own_kb += kb;
-            streamer.own_count += 1.0;
-        }
+        self.book(now, at, self.rate(lane, rung), 1.0);
         handle
     }
 
     fn enter(&mut self, now: Point, wish: &Wish, first: bool) -> Handle {
         let title = self.by_title.get(wish.title).copied().unwrap_or_else(|| {
             self.by_title.insert(wish.title.to_owned(), self.titles.len());
-            self.titles.push(None);
+            self.titles.push(Title::default());
             self.titles.len() - 1
         });
+        let known = &mut self.titles[title];
+        if known.of != self.streamers.len() {
+            let cells = self.rules.number("cells", 1.0).max(1.0) as usize;
+            let holds = |s: &Streamer| (s.cell + cells - wish.home % cells) % cells < wish.copies;
+            known.holders = (0..self.streamers.len()).filter(|at| holds(&self.streamers[*at])).collect();
+            known.of = self.streamers.len();
+        }
         let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or_else(|| {
             // A lane that the settings never named is served on the strictest terms.
             self.lanes.push(Lane::unnamed(wish.lane, self.ladder.kb.len() - 1));
@@ -301,8 +301,6 @@
             lane,
             title,
             gain: terms.gain * (within + past),
-            home: wish.home,
-            copies: wish.copies,
             floor: terms.floor,
             top: wish.top.min(terms.top).max(terms.floor),
             cut_off: wish.cut_off,
@@ -341,7 +339,7 @@
         let Some((at, rung)) = choice else {
             return self.give_up(place);
         };
-        self.titles[self.held[place].title] = Some((at, now));
+        self.titles[self.held[place].title].kept = Some((at, now));
         let kb = self.rate(lane, rung);
         self.book(now, at, kb, 1.0);
         let streamer = &mut self.streamers[at];
@@ -364,11 +362,13 @@
 
     /// The kept holder of the title while it stands, else the one of smallest phi with room at this rung.
     fn holder(&mut self, now: Point, place: usize, rung: usize) -> Option<usize> {
-        let kept = self.titles[self.held[place].title];
+        let title = self.held[place].title;
+        let kept = self.titles[title].kept;
         let mut best: Option<(f64, usize)> = None;
         let mut kept_phi = None;
         for careful in [true, false] {
-            for at in 0..self.streamers.len() {
+            for i in 0..self.titles[title].holders.len() {
+                let at = self.titles[title].holders[i];
                 if !self.may_send(now, place, at, careful) {
                     continue;
                 }
@@ -404,13 +404,11 @@
     fn may_send(&self, now: Point, place: usize, at: usize, careful: bool) -> bool {
         let held = &self.held[place];
         let streamer = &self.streamers[at];
-        let cells = self.rules.number("cells", 1.0).max(1.0) as usize;
-        let holds = (streamer.cell + cells - held.home % cells) % cells < held.copies;
         let again = held.shots > 0 && held.streamer == at;
         let odds = streamer.odds_now(now);
         let doubt = odds >= if self.lanes[held.lane].paid { DOUBTED / 2.0 } else { DOUBTED };
         let sound = odds < CONDEMNED && !(careful && (again || doubt));
-        streamer.ready && holds && sound && now >= streamer.full_until && streamer.my_turn(&self.rules, now)
+        streamer.ready && sound && now >= streamer.full_until && streamer.my_turn(&self.rules, now)
     }
 
     /// a(i) = min(k, n): free streams, and spare link and uplink in subscriptions at this rung.
@@ -461,7 +459,11 @@
     /// A cold streamer's link is cold too.
     fn warmth(&self, now: Point, at: usize) -> f64 {
         let cold = self.streamers[at].is_cold(&self.rules, now);
-        if cold { self.rules.number("cold.from", 1.0) } else { 1.0 }
+        if cold {
+            self.rules.number("cold.from", 1.0)
+        } else {
+            1.0
+        }
     }
 
     /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
@@ -487,8 +489,7 @@
         streamer.own_kb += kb;
         streamer.own_count += count;
         for pipe in [&mut streamer.link, &mut self.racks[streamer.rack]] {
-            pipe.ledger.retain(|c| (now - c.0).seconds() < 2.0 * STALE);
-            pipe.ledger.push_back((now, kb));
+            pipe.book(now, kb, now - Span::of(2.0 * STALE));
         }
     }
 
@@ -680,15 +681,11 @@
     }
 
     /// The rung in force, as the streamer tells it.
-    pub fn at_rung(self, on: &mut Controller, rung: usize) {
+    pub fn at_rung(self, on: &mut Controller, now: Point, rung: usize) {
         let Some(held) = self.find(on) else { return };
-        let before = held.rung;
-        held.rung = rung.clamp(held.floor, held.top);
+        let before = std::mem::replace(&mut held.rung, rung.clamp(held.floor, held.top));
         let (at, lane, rung) = (held.streamer, held.lane, held.rung);
-        let more = on.rate(lane, rung) - on.rate(lane, before);
-        if let Some(streamer) = on.streamers.get_mut(at) {
-            streamer.own_kb += more;
-        }
+        on.book(now, at, on.rate(lane, rung) - on.rate(lane, before), 0.0);
     }
 
     /// The streamer delivers only this share of the rates.
@@ -804,26 +801,6 @@
     }
 }
 
-impl Pipe {
-    fn fullness(&self) -> f64 {
-        self.full + self.ledger.iter().map(|c| c.1).sum::<f64>() / self.kb.max(1e-9)
-    }
-
-    /// Takes in what was told of a moment; a noisy figure moves what is known by a part only.
-    fn tell(&mut self, of: Point, full: f64, part: f64) {
-        let part = match self.told {
-            Some(told) if told > of => return,
-            Some(_) => part,
-            None => 1.0,
-        };
-        let past: f64 = self.ledger.iter().filter(|c| c.0 <= of).map(|c| c.1).sum();
-        let known = self.full + past / self.kb.max(1e-9);
-        self.full = (known + part * (full - known)).max(0.0);
-        self.told = Some(of);
-        self.ledger.retain(|c| c.0 > of);
-    }
-}
-
 impl Streamer {
     /// One step of the sequential test; the odds never fall below even.
     fn weigh(&mut self, now: Point, step: f64) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{Point, Span};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// One value of the settings that a controller is handed at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -119,7 +120,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shot {
     pub id: u32,
-    pub streamer: String,
+    pub streamer: Rc<str>,
     pub within: Span,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod clock;
 pub mod control;
 pub mod interface;
+pub mod pipe;
