A tenant's rate leans on its share while few wishes were seen

Cause: a controller's own count times the number of controllers stood for a tenant's rate; with one wish in ten seconds each, any wish looked like a crowd. Could harm when a small deployment meets a sudden crowd of one tenant: it is believed a few wishes later.

--- a/src/control.rs
+++ b/src/control.rs
@@ -45,7 +45,9 @@
 /// Part of the latency goal that a shot may take where another can follow it.
 const SHOT_PART: f64 = 0.45;
 /// Seconds over which a tenant's rate of wishes is counted.
-const TENANT_SPAN: f64 = 8.0;
+const TENANT_SPAN: f64 = 16.0;
+/// Wishes that prove little about a tenant.
+const PROOF: f64 = 8.0;
 const BEAT: Span = Span::of_millis(250);
 
 /// Stands for one subscription in hand; a stale one finds nobody.
@@ -78,8 +80,8 @@
 struct Tenant {
     name: String,
     quota_per_s: f64,
-    /// First tries counted here, fading over `TENANT_SPAN`.
-    count: f64,
+    /// First tries counted here, fading over `TENANT_SPAN`; at first, as many as are due.
+    count: Option<f64>,
     counted: Point,
 }
 
@@ -193,7 +195,7 @@
         let tenant = |i: usize| {
             let name = text(sheet, &format!("tenants.{i}.name"))?.to_owned();
             let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
-            Some(Tenant { name, quota_per_s, count: 0.0, counted: now })
+            Some(Tenant { name, quota_per_s, count: None, counted: now })
         };
         let uplink = Pipe::of_size(read("rack.kb", 0.0));
         Controller {
@@ -792,12 +794,15 @@
 }
 
 impl Tenant {
-    /// The part of the tenant's wishes, as many here as elsewhere, that is within its share.
+    /// The part of the tenant's wishes that is within its share, of which an even part is this controller's.
+    /// Symptom: among hundreds of controllers one wish looked like a whole crowd; few wishes prove little.
     fn within(&mut self, now: Point, first: bool, controllers: f64) -> f64 {
-        self.count *= (-(now - self.counted).seconds() / TENANT_SPAN).exp();
+        let due = self.quota_per_s * TENANT_SPAN / controllers;
+        let faded = (-(now - self.counted).seconds() / TENANT_SPAN).exp();
+        let seen = self.count.unwrap_or(due) * faded;
+        self.count = Some(seen + if first { 1.0 } else { 0.0 });
         self.counted = now;
-        self.count += if first { 1.0 } else { 0.0 };
-        (self.quota_per_s * TENANT_SPAN / (self.count * controllers).max(1e-9)).min(1.0)
+        if due.is_finite() { ((due + PROOF) / (seen + PROOF)).min(1.0) } else { 1.0 }
     }
 }
 
