--- a/src/control.rs
+++ b/src/control.rs
@@ -510,11 +510,12 @@
     fn appraise(&mut self, now: Point) -> f64 {
         let own = self.held.iter().filter(|(_, s)| s.seated());
         let own: f64 = own.map(|(_, s)| self.rate(s.lane, s.rung)).sum();
+        let lapse = self.rules.lapse();
         let (mut links, mut asked, mut heard, mut inverse, mut told) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for streamer in self.streamers.iter().filter(|s| s.ready) {
             let link = &streamer.link;
             links += link.kb;
-            if link.told.is_some_and(|t| (now - t).seconds() < STALE) {
+            if link.told.is_some_and(|t| now - t < lapse) {
                 heard += link.kb;
                 asked += link.fullness() * link.kb;
                 inverse += link.kb / link.fullness().max(0.05);
@@ -644,7 +645,7 @@
     /// Own subscriptions at a streamer climb into the fresh room that is theirs by what they ask for now, once
     /// for each news of it, best steps first; a step larger than what is left of it goes by chance.
     fn climb(&mut self, now: Point, at: usize) {
-        let lapse = span(&self.rules.sheet, "notes.age") + span(&self.rules.sheet, "notes.every") * 1.5;
+        let lapse = self.rules.lapse();
         let streamer = &self.streamers[at];
         if streamer.link.told.is_none_or(|told| now - told > lapse || told <= streamer.acted) {
             return;
@@ -785,6 +786,11 @@
         (flag(&self.sheet, "retry_after.allowed") && longest > Span::ZERO).then_some(longest)
     }
 
+    /// After so long the next note is overdue.
+    fn lapse(&self) -> Span {
+        span(&self.sheet, "notes.age") + span(&self.sheet, "notes.every") * 1.5
+    }
+
     /// Streams that a kind of machine runs at most.
     fn places(&self, kind: &str) -> f64 {
         let of = (0..).map_while(|i| Some((i, text(&self.sheet, &format!("kinds.{i}"))?)));
