A streamer never heard of counts at most as filled

Cause: where the guessed mean lay above the brim, one unlucky note made a controller turn everybody back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -452,7 +452,7 @@
         let link = &self.streamers[at].link;
         let Some(told) = link.told else {
             let others = 1.0 - 1.0 / self.rules.controllers();
-            return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.mean_full;
+            return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.mean_full.min(FILL);
         };
         let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
         link.fullness() + stale * (self.mean_full - link.full).max(0.0)
