--- a/src/control.rs
+++ b/src/control.rs
@@ -651,7 +651,7 @@
             return;
         }
         let full = self.fullness(now, at).max(self.uplink_fullness(now, at)).max(0.02);
-        let mut room = 0.5 * streamer.own_kb * (FILL * self.warmth(now, at) / full - 1.0);
+        let mut room = streamer.own_kb * (FILL * self.warmth(now, at) / full - 1.0);
         while room > 0.0 {
             let next = |s: &Subscription| self.step(s, s.rung + 1);
             let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
