--- a/src/control.rs
+++ b/src/control.rs
@@ -511,27 +511,28 @@
         let own = self.held.iter().filter(|(_, s)| s.seated());
         let own: f64 = own.map(|(_, s)| self.rate(s.lane, s.rung)).sum();
         let lapse = self.rules.lapse();
-        let (mut links, mut asked, mut heard, mut inverse, mut told) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        for streamer in self.streamers.iter().filter(|s| s.ready) {
-            let link = &streamer.link;
-            links += link.kb;
-            if link.told.is_some_and(|t| now - t < lapse) {
-                heard += link.kb;
-                asked += link.fullness() * link.kb;
-                inverse += link.kb / link.fullness().max(0.05);
-                told += 1.0;
-            }
+        let ready = || (0..self.streamers.len()).filter(|at| self.streamers[*at].ready);
+        let fresh = |at: &usize| self.streamers[*at].link.told.is_some_and(|t| now - t < lapse);
+        let links: f64 = ready().map(|at| self.streamers[at].link.kb).sum();
+        let heard: f64 = ready().filter(fresh).map(|at| self.streamers[at].link.kb).sum();
+        // A controller that hears a small part of the fleet hears the crowded ones more often.
+        let part = heard / links.max(1e-9);
+        let (mut weight, mut asked, mut tight) = (1e-9, 0.0, 0.0);
+        for at in ready().filter(fresh) {
+            let full = self.streamers[at].link.fullness().max(0.05);
+            let heavy = self.streamers[at].link.kb / full.powf(1.0 - part);
+            weight += heavy;
+            asked += heavy * full;
+            tight += heavy * full.max(self.uplink_fullness(now, at));
         }
         let racks: f64 = self.racks.iter().map(|rack| rack.kb).sum();
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
         // While little was told, the others are taken to hold as much as this controller does.
         let guess = own * self.rules.controllers() / capacity;
+        let told = ready().filter(fresh).count() as f64;
         let trust = told / (told + 1.0);
-        // A controller that hears a small part of the fleet hears the crowded ones more often.
-        let part = heard / links.max(1e-9);
-        let mean = if heard > 0.0 { part * asked / heard + (1.0 - part) * heard / inverse } else { 0.0 };
-        let full = trust * mean * links / capacity + (1.0 - trust) * guess;
-        self.mean_full = full * capacity / links.max(1e-9);
+        let full = trust * tight / weight + (1.0 - trust) * guess;
+        self.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
         }
