--- a/src/control.rs
+++ b/src/control.rs
@@ -168,8 +168,6 @@
     wake_at: Point,
     /// The fleet's mean fullness, and the gain per kB that a step must earn, as far as is known.
     mean_full: f64,
-    /// The part of the fleet's links that is heard from.
-    heard: f64,
     price: Option<f64>,
     pub results: Results,
 }
@@ -217,7 +215,6 @@
             chance: Chance::from_seed(seed),
             wake_at: now,
             mean_full: 0.0,
-            heard: 0.0,
             price: None,
             results: Results::default(),
         }
@@ -322,7 +319,7 @@
 
     /// The ordinary path of a subscription, from top to bottom.
     fn place(&mut self, now: Point, place: usize) {
-        let fair = self.fair_rung(place, 1.0);
+        let fair = self.fair_rung(place);
         let held = &self.held[place];
         let (lane, floor) = (held.lane, held.floor);
         let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
@@ -499,12 +496,12 @@
     }
 
     /// The highest rung whose every step is worth the fleet's price; with no account, the ladder's middle.
-    fn fair_rung(&self, place: usize, part: f64) -> usize {
+    fn fair_rung(&self, place: usize) -> usize {
         let held = &self.held[place];
         let Some(price) = self.price else {
             return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
         };
-        let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price * part);
+        let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price);
         worth.last().unwrap_or(held.floor)
     }
 
@@ -535,7 +532,6 @@
         let told = ready().filter(fresh).count() as f64;
         let trust = told / (told + 1.0);
         let full = trust * tight / weight + (1.0 - trust) * guess;
-        self.heard = part;
         self.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
@@ -656,13 +652,11 @@
             return;
         }
         let full = self.fullness(now, at).max(self.uplink_fullness(now, at)).max(0.02);
-        // Room that few controllers hear of is not filled by starts: there link is cheaper.
-        let cheap = 1.0 - (1.0 - self.heard) * (1.0 - full / FILL).max(0.0);
         let mut room = streamer.own_kb * (FILL * self.warmth(now, at) / full - 1.0);
         while room > 0.0 {
             let next = |s: &Subscription| self.step(s, s.rung + 1);
             let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
-            let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place, cheap));
+            let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place));
             let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
             let Some((place, held)) = best else { return };
             let (kb, rung) = (next(held).0, held.rung + 1);
