--- a/src/control.rs
+++ b/src/control.rs
@@ -27,8 +27,6 @@
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
 const PRESSED: f64 = 1.05;
-/// How far a step's gain per kB, against the price, makes it rarer or more frequent.
-const DEAR: f64 = 0.3;
 /// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
 const QUIET: (f64, f64) = (2.0, 4.0);
 /// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
@@ -592,24 +590,26 @@
         self.relieve(now, at, of, self.fullness(now, at).max(self.uplink_fullness(now, at)));
     }
 
-    /// Steps down at a streamer that is asked for more than it gives: each own subscription there by a chance
-    /// such that all controllers together free what is missing, steps that earn little before dear ones.
-    /// Symptom: hundreds of whole steps for one small need, the dearest lane's as often as any other's.
+    /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
+    /// that everybody has to, cheapest steps first; a step larger than what is left goes by chance, so that
+    /// all controllers together free what is missing. Symptom: hundreds of whole steps for one small need.
     fn relieve(&mut self, now: Point, at: usize, of: Point, full: f64) {
         if full <= PRESSED || of <= self.streamers[at].acted {
             return;
         }
         self.streamers[at].acted = now;
-        for place in 0..self.held.capacity() {
-            let Some(held) = self.held.get(place).filter(|s| s.plays_at(at) && s.rung > s.floor) else {
-                continue;
-            };
-            let ((kb, earns), own) = (self.step(held, held.rung), self.rate(held.lane, held.rung));
-            let cheap = self.price.map_or(1.0, |price| (price / earns).clamp(DEAR, 1.0 / DEAR));
-            let rung = held.rung - 1;
-            if self.chance.between(0.0, kb) < own * (1.0 - 1.0 / full) * cheap {
+        let mut missing = self.streamers[at].own_kb * (1.0 - 1.0 / full);
+        while missing > 0.0 {
+            let steady = |s: &Subscription| s.plays_at(at) && s.rung > s.floor && s.changed < now;
+            let price = |s: &Subscription| self.step(s, s.rung).1;
+            let own = self.held.iter().filter(|(_, s)| steady(s));
+            let cheapest = own.min_by(|a, b| price(a.1).total_cmp(&price(b.1)));
+            let Some((place, held)) = cheapest else { return };
+            let (kb, rung) = (self.step(held, held.rung).0, held.rung - 1);
+            if self.chance.between(0.0, kb) < missing {
                 self.set_rung(now, place, rung);
             }
+            missing -= kb;
         }
     }
 
