Holders without news are looked at before a first shot, two at most

Cause: a controller hears from a few streamers of hundreds, so most first shots went out blind; hot holders overflowed while others had room. Where the settings allow looks, a wish waits a few ms for one or two. Also guards against dead streamers: a look fails, no shot is lost. Could harm where looks are dear or slow; two a wish at most, and a beat later it goes on without.

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -95,6 +95,15 @@
     level: f64,
 }
 
+#[derive(Deserialize)]
+struct Look {
+    streamer: String,
+    #[serde(default)]
+    verdict: i64,
+    #[serde(default)]
+    metrics: Vec<Json>,
+}
+
 struct Host {
     controller: Controller,
     handles: HashMap<u32, Handle>,
@@ -182,6 +191,11 @@
                 }
             }
             "Reminder" => controller.wake(now),
+            "ProbeResult" => {
+                let look: Look = decode(name, body)?;
+                let load = load(reports, &look.metrics);
+                controller.looked(now, &look.streamer, look.verdict == 200, load);
+            }
             "Request" | "Inherited" => {
                 let news: News = decode(name, body)?;
                 let (tenant, title) = (words(&news.owner), words(&news.title));
@@ -304,6 +318,9 @@
     for id in &results.moved {
         output.push(json!({"Migrate": {"op_id": id}}));
     }
+    for streamer in &results.looks {
+        output.push(json!({"Inspect": {"streamer": &**streamer}}));
+    }
     if let Some(wake) = results.wake {
         let span = (wake - now).seconds().max(0.0);
         output.push(json!({"Schedule": {"span": span, "nonce": 1}}));
--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const FADE: f64 = 0.15;
 /// Part of the latency goal that a shot may take where another can follow it.
 const SHOT_PART: f64 = 0.45;
+/// Looks at holders without news before a first shot.
+const LOOKS: u32 = 2;
 /// Seconds over which a tenant's rate of wishes is counted.
 const TENANT_SPAN: f64 = 16.0;
 /// Wishes that prove little about a tenant.
@@ -145,6 +147,7 @@
     rung: usize,
     streamer: usize,
     shots: u32,
+    looks: u32,
     may_have_run: bool,
     climb_at: Point,
     changed: Point,
@@ -310,6 +313,7 @@
             rung: terms.floor,
             streamer: usize::MAX,
             shots: 0,
+            looks: 0,
             may_have_run: false,
             climb_at: now + Span::of(self.chance.between(QUIET.0, QUIET.1)),
             changed: now,
@@ -341,6 +345,14 @@
         let Some((at, rung)) = choice else {
             return self.give_up(place);
         };
+        // Hundreds of controllers each hear from few streamers: a holder without news is looked at first.
+        let unheard = self.streamers[at].link.told.is_none_or(|told| now - told > self.rules.lapse());
+        let held = &mut self.held[place];
+        if unheard && held.shots == 0 && held.looks < LOOKS && flag(&self.rules.sheet, "looks.allowed") {
+            held.looks += 1;
+            (held.streamer, held.changed) = (at, now);
+            return self.results.looks.push(self.streamers[at].name.clone());
+        }
         self.titles[self.held[place].title].kept = Some((at, now));
         let kb = self.rate(lane, rung);
         self.book(now, at, kb, 1.0);
@@ -625,12 +637,32 @@
         self.book(now, at, more, 0.0);
     }
 
+    /// A look at a streamer came back, with its load or, where it failed, without; who waited for it goes on.
+    pub fn looked(&mut self, now: Point, streamer: &str, sound: bool, load: Load) {
+        let Some(at) = self.by_name.get(streamer).copied() else { return };
+        if !sound {
+            self.streamers[at].weigh(now, BAD);
+        }
+        self.hear(now, at, load, ANSWER_AGE, 1.0);
+        self.resume(now, |s| s.streamer == at);
+    }
+
+    /// Places again who waits for a look.
+    fn resume(&mut self, now: Point, who: impl Fn(&Subscription) -> bool) {
+        for place in 0..self.held.capacity() {
+            if self.held.get(place).is_some_and(|s| s.state == State::Waiting && who(s)) {
+                self.place(now, place);
+            }
+        }
+    }
+
     /// Regular work: forgets what is past, appraises the fleet and climbs where there is room.
     pub fn wake(&mut self, now: Point) {
         if now < self.wake_at {
             return;
         }
         self.ask_wake(now);
+        self.resume(now, |s| now - s.changed >= BEAT);
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,6 +135,8 @@
     pub scrapped: Vec<u32>,
     /// Playing subscriptions to end here; they come back to this controller as new wishes.
     pub moved: Vec<u32>,
+    /// Streamers to look at; what comes back goes to `looked`.
+    pub looks: Vec<Rc<str>>,
     /// The moment at which `wake` wants to be called.
     pub wake: Option<Point>,
 }
@@ -146,6 +148,7 @@
         self.turned_back.clear();
         self.scrapped.clear();
         self.moved.clear();
+        self.looks.clear();
         self.wake = None;
     }
 }
