--- a/src/control.rs
+++ b/src/control.rs
@@ -45,7 +45,7 @@
 /// Part of the latency goal that a shot may take where another can follow it.
 const SHOT_PART: f64 = 0.45;
 /// Looks at holders without news before a first shot.
-const LOOKS: u32 = 2;
+const LOOKS: u32 = 3;
 /// Seconds over which a tenant's rate of wishes is counted.
 const TENANT_SPAN: f64 = 16.0;
 /// Wishes that prove little about a tenant.
