--- a/src/control.rs
+++ b/src/control.rs
@@ -584,7 +584,7 @@
         }
     }
 
-    /// Own subscriptions at a streamer climb into the fresh room that is theirs by what they ask for now, once
+    /// Own subscriptions at a streamer climb into the fresh room that is theirs by what they ask for, once
     /// for each news of it, best steps first; a step larger than what is left of it goes by chance.
     fn climb(&mut self, now: Point, at: usize) {
         let lapse = self.rules.lapse();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -54,8 +54,8 @@
     assert_eq!(&*on.results.shots[0].streamer, "s1");
 }
 
-/// One note just over the brim is noise; and where each of hundreds of controllers took a whole step for a small
-/// need, all together freed far more than was missing.
+/// One note just over the brim is noise; and where each of hundreds of controllers took a whole step for a
+/// small need, all together freed far more than was missing.
 #[test]
 fn all_controllers_together_free_what_is_missing() {
     let (mut noise, mut steps) = (0, 0);
@@ -119,7 +119,7 @@
     assert_eq!(on.results.shots.len(), 1);
 }
 
-/// A controller that hears from few streamers sent most first shots blind: it looks first, but never for long.
+/// A controller that hears from few streamers sent most first shots blind: it looks first, never for long.
 #[test]
 fn a_holder_without_news_is_looked_at_first() {
     let now = Point::at(100.0);
