News is remembered for 30 s

Cause: hot streamers stay hot, as their titles do, and a controller at size has little other news. Could harm where load moves fast between streamers; fresher news always wins.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,7 +32,7 @@
 const ANSWER_AGE: Span = Span::of_millis(400);
 const ANSWER_PART: f64 = 0.2;
 /// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
-const STALE: f64 = 12.0;
+const STALE: f64 = 30.0;
 const SMOOTH: f64 = 0.2;
 /// Part past its tenant's share from which a poor wish is surely turned back.
 const SURELY_PAST: f64 = 0.4;
