--- a/src/control.rs
+++ b/src/control.rs
@@ -78,6 +78,7 @@
     wake_at: Point,
     /// The fleet's mean fullness, and the gain per kB that a step must earn, as far as is known.
     mean_full: f64,
+    mean_uplink: f64,
     price: Option<f64>,
     pub results: Results,
 }
@@ -125,6 +126,7 @@
             chance: Chance::from_seed(seed),
             wake_at: now,
             mean_full: 0.0,
+            mean_uplink: f64::NEG_INFINITY,
             price: None,
             results: Results::default(),
         }
@@ -398,12 +400,15 @@
     }
 
     /// Fullness of the uplink behind a streamer, as told. It lapses: a rack out of use tells nothing new.
-    fn uplink_fullness(&self, now: Point, at: usize) -> f64 {
+    fn told_uplink(&self, now: Point, at: usize) -> Option<f64> {
         let uplink = &self.racks[self.streamers[at].rack];
-        match uplink.told {
-            Some(told) if (now - told).seconds() < STALE / 2.0 => uplink.fullness(),
-            _ => f64::NEG_INFINITY,
-        }
+        let told = uplink.told.is_some_and(|told| (now - told).seconds() < STALE / 2.0);
+        told.then(|| uplink.fullness())
+    }
+
+    /// The same, or the fleet's mean where uplinks are told of, but not this one.
+    fn uplink_fullness(&self, now: Point, at: usize) -> f64 {
+        self.told_uplink(now, at).unwrap_or(self.mean_uplink.min(FILL))
     }
 
     /// Enters an own change at a streamer into its accounts.
@@ -439,12 +444,16 @@
         // A controller that hears a small part of the fleet hears the crowded ones more often.
         let part = heard / links.max(1e-9);
         let (mut weight, mut asked, mut tight) = (1e-9, 0.0, 0.0);
+        let (mut of_uplinks, mut uplinks) = (0.0, 0.0);
         for at in ready().filter(fresh) {
             let full = self.streamers[at].link.fullness().max(0.05);
             let heavy = self.streamers[at].link.kb / full.powf(1.0 - part);
             weight += heavy;
             asked += heavy * full;
-            tight += heavy * full.max(self.uplink_fullness(now, at));
+            let uplink = self.told_uplink(now, at);
+            tight += heavy * full.max(uplink.unwrap_or(0.0));
+            uplinks += uplink.map_or(0.0, |full| heavy * full);
+            of_uplinks += uplink.map_or(0.0, |_| heavy);
         }
         let racks: f64 = self.racks.iter().map(|rack| rack.kb).sum();
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
@@ -453,6 +462,7 @@
         let told = ready().filter(fresh).count() as f64;
         let trust = told / (told + 1.0);
         let full = trust * tight / weight + (1.0 - trust) * guess;
+        self.mean_uplink = if of_uplinks > 0.0 { uplinks / of_uplinks } else { f64::NEG_INFINITY };
         self.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
@@ -643,7 +653,7 @@
         let full = 1.0 / share.max(0.3);
         // A link that is told to have room, and yet delivers short, stands behind an uplink told to be full.
         let uplink = on.uplink_fullness(now, at);
-        let behind = uplink >= FILL && uplink > on.fullness(now, at);
+        let behind = uplink > FILL && uplink > on.fullness(now, at);
         let load = if behind { Load::rack(full) } else { Load::link(full) };
         on.hear(now, at, load, span(&on.rules.sheet, "notes.age"), 1.0);
     }
