--- a/src/books.rs
+++ b/src/books.rs
@@ -47,19 +47,11 @@
     pub kept: Option<(usize, Point)>,
 }
 
-/// The sequential test of a streamer or a zone: log odds that it fails, as they were at a moment.
-#[derive(Default)]
-pub struct Trial {
-    pub odds: f64,
-    pub at: Point,
-}
-
 #[derive(Default)]
 pub struct Streamer {
     pub name: Rc<str>,
     pub rack: usize,
     pub cell: usize,
-    pub zone: usize,
     pub near: bool,
     pub ready: bool,
     pub places: f64,
@@ -72,7 +64,8 @@
     pub own_kb: f64,
     /// When its news was last answered by steps or climbs: what is older is not answered again.
     pub acted: Point,
-    pub trial: Trial,
+    pub odds: f64,
+    pub odds_at: Point,
     pub full_until: Point,
     /// The last turn at this streamer while it was cold, and own sends in it.
     pub turn: (i64, u32),
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
 //!
 //! The ordinary path is `Controller::place`: smallest phi = 1 / ((x + 1) * a) among the holders.
 
-use crate::books::{HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title, Trial};
+use crate::books::{HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title};
 use crate::chance::Chance;
 use crate::clock::{Point, Span};
 use crate::interface::{
@@ -68,7 +68,6 @@
     streamers: Vec<Streamer>,
     by_name: HashMap<String, usize>,
     racks: Vec<Pipe>,
-    zones: Vec<(String, Trial)>,
     titles: Vec<Title>,
     by_title: HashMap<String, usize>,
     held: Slab<Subscription>,
@@ -118,7 +117,6 @@
             streamers: Vec::new(),
             by_name: HashMap::new(),
             racks: vec![uplink; read("rack.count", 1.0).max(1.0) as usize],
-            zones: Vec::new(),
             titles: Vec::new(),
             by_title: HashMap::new(),
             held: Slab::with_capacity(256),
@@ -149,17 +147,12 @@
             streamer.ready = line.stage == Stage::Ready;
             let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
             streamer.near = !crossing || text(&self.rules.sheet, "zone") == Some(&line.zone);
-            let zone = self.zones.iter().position(|(name, _)| *name == line.zone);
-            streamer.zone = zone.unwrap_or(self.zones.len());
-            if zone.is_none() {
-                self.zones.push((line.zone.clone(), Trial::default()));
-            }
             streamer.link.kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
             streamer.places = self.rules.places(&line.kind);
             if line.started > streamer.started {
                 // A new process holds nothing and is under doubt no more than half.
                 streamer.started = line.started;
-                streamer.trial.odds = streamer.trial.odds.min(DOUBTED / 2.0);
+                streamer.odds = streamer.odds.min(DOUBTED / 2.0);
                 streamer.link.told = None;
             }
         }
@@ -337,10 +330,8 @@
         let held = &self.held[place];
         let streamer = &self.streamers[at];
         let again = held.shots > 0 && held.streamer == at;
-        let odds = streamer.trial.odds_now(now);
-        // Symptom: streams at many streamers of one zone break at once; the rest of it is not to be tried in turn.
-        let zone = self.zones[streamer.zone].1.odds_now(now) >= CONDEMNED;
-        let doubt = zone || odds >= if self.lanes[held.lane].paid { DOUBTED / 2.0 } else { DOUBTED };
+        let odds = streamer.odds_now(now);
+        let doubt = odds >= if self.lanes[held.lane].paid { DOUBTED / 2.0 } else { DOUBTED };
         let sound = odds < CONDEMNED && !(careful && (again || doubt));
         streamer.ready && sound && now >= streamer.full_until && streamer.my_turn(&self.rules, now)
     }
@@ -569,7 +560,7 @@
     pub fn looked(&mut self, now: Point, streamer: &str, sound: bool, load: Load) {
         let Some(at) = self.by_name.get(streamer).copied() else { return };
         if !sound {
-            self.streamers[at].trial.weigh(now, BAD);
+            self.streamers[at].weigh(now, BAD);
         }
         self.hear(now, at, load, ANSWER_AGE, 1.0);
         self.resume(now, |s| s.streamer == at);
@@ -640,8 +631,7 @@
         held.state = State::Playing;
         let at = held.streamer;
         if let Some(streamer) = on.streamers.get_mut(at) {
-            streamer.trial.weigh(now, GOOD);
-            on.zones[streamer.zone].1.weigh(now, GOOD);
+            streamer.weigh(now, GOOD);
         }
     }
 
@@ -685,14 +675,11 @@
         held.state = State::Waiting;
         on.book(now, at, -on.rate(lane, rung), -1.0);
         if let Some(streamer) = on.streamers.get_mut(at) {
-            if matches!(ending, Ending::Broken | Ending::NoConnection) {
-                on.zones[streamer.zone].1.weigh(now, BAD);
-            }
             match ending {
-                Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.trial.weigh(now, BAD),
+                Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.weigh(now, BAD),
                 // A broken stream was held by a process that is no more: it restarts cold, if at all.
                 Ending::Broken => {
-                    streamer.trial.weigh(now, BAD);
+                    streamer.weigh(now, BAD);
                     streamer.started = streamer.started.max(Some(now));
                 }
                 Ending::SentBack => streamer.full_until = now + Span::of(1.0),
@@ -771,19 +758,17 @@
     }
 }
 
-impl Trial {
+impl Streamer {
     /// One step of the sequential test; the odds never fall below even.
     fn weigh(&mut self, now: Point, step: f64) {
         self.odds = (self.odds_now(now) + step).clamp(0.0, 2.0 * CONDEMNED);
-        self.at = now;
+        self.odds_at = now;
     }
 
     fn odds_now(&self, now: Point) -> f64 {
-        (self.odds - FADE * (now - self.at).seconds()).max(0.0)
+        (self.odds - FADE * (now - self.odds_at).seconds()).max(0.0)
     }
-}
 
-impl Streamer {
     fn is_cold(&self, rules: &HouseRules, now: Point) -> bool {
         self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span"))
     }
