--- a/src/books.rs
+++ b/src/books.rs
@@ -64,6 +64,8 @@
     pub own_kb: f64,
     /// When its news was last answered by steps or climbs: what is older is not answered again.
     pub acted: Point,
+    /// When a look at it last came back.
+    pub looked: Point,
     pub odds: f64,
     pub odds_at: Point,
     pub full_until: Point,
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,8 @@
 const FILL: f64 = 0.88;
 /// What a holder in another zone counts for where crossing is charged.
 const FAR: f64 = 0.5;
+/// The same at a streamer just looked at, as its news is of this moment.
+const LOOKED_FILL: f64 = 0.93;
 /// What set-ups at the lowest rung may fill; a share delivered under this is short.
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
@@ -394,6 +396,7 @@
     /// Spare kB a second of a streamer's link and its rack's uplink, under the fill that is aimed at.
     fn room(&self, now: Point, at: usize, fill: f64) -> f64 {
         let streamer = &self.streamers[at];
+        let fill = if now - streamer.looked < BEAT { fill.max(LOOKED_FILL) } else { fill };
         let room = (fill * self.warmth(now, at) - self.fullness(now, at)) * streamer.link.kb;
         let uplink = &self.racks[streamer.rack];
         room.min((fill - self.uplink_fullness(now, at)) * uplink.kb.max(1e-9))
@@ -562,6 +565,7 @@
         if !sound {
             self.streamers[at].weigh(now, BAD);
         }
+        self.streamers[at].looked = now;
         self.hear(now, at, load, ANSWER_AGE, 1.0);
         self.resume(now, |s| s.streamer == at);
     }
