--- a/src/control.rs
+++ b/src/control.rs
@@ -38,6 +38,8 @@
 const SMOOTH: f64 = 0.2;
 /// Part past its tenant's share from which a poor wish is surely turned back.
 const SURELY_PAST: f64 = 0.4;
+/// A wish whose best rung earns less than this part of the price is turned back where there are no shares.
+const POOR: f64 = 0.6;
 /// Sequential test of a streamer: log odds that an outcome adds, and where doubt and condemnation begin.
 const GOOD: f64 = -1.0;
 const BAD: f64 = 2.5;
@@ -245,11 +247,15 @@
         if no_seat || spent {
             return self.give_up(place);
         }
-        // Past its tenant's share by that chance, and no rung earns what its link is worth elsewhere.
+        // No rung earns what its link is worth elsewhere: turned back by the chance that it is past its tenant's
+        // share; where nobody has shares, when it falls well short. Symptom: links full of the cheapest wishes.
         let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
-        let poor = |price| (floor..=held.top).all(|rung| earns(rung) < price);
+        let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
+        let part = self.price.map_or(1.0, |price| best / price.max(1e-12));
         let past = 1.0 - held.gain / terms.gain;
-        if past > 0.0 && self.price.is_some_and(poor) && self.chance.between(0.0, SURELY_PAST) < past {
+        if part < POOR && self.tenants.is_empty()
+            || part < 1.0 && past > 0.0 && self.chance.between(0.0, SURELY_PAST) < past
+        {
             return self.give_up(place);
         }
         // Highest rung first; at each the kept holder, else the smallest phi; lower rungs, then a turn-back.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -33,7 +33,7 @@
     on.take(now + seconds(2.1), &wish(2, FREE, "t", 0, now + seconds(9.0)));
     assert_eq!(on.results.turned_back.len(), 1, "a full uplink takes no more");
     on.results.clear();
-    on.take(now + seconds(12.0), &wish(3, FREE, "t", 0, now + seconds(19.0)));
+    on.take(now + seconds(20.0), &wish(3, FREE, "t", 0, now + seconds(29.0)));
     assert_eq!(on.results.shots.len(), 1);
 }
 
