--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -301,9 +301,7 @@
     let mut sends = Vec::new();
     for me in 0..controllers {
         let mut on = Controller::start(Point::at(900.0), me as u64, &sheet(me, controllers, &more));
-        let mut lines = vec![line(0, Stage::Gone, None); STREAMERS];
-        lines[0] = line(0, Stage::Ready, Some(start));
-        on.learn(start, &lines, true);
+        on.learn(start, &[line(0, Stage::Ready, Some(start))], true);
         for tick in 0..90 {
             let now = start + seconds(0.1 * f64::from(tick));
             on.results.clear();
