--- a/src/control.rs
+++ b/src/control.rs
@@ -516,8 +516,7 @@
     /// A streamer's news of its load.
     fn hear(&mut self, now: Point, at: usize, load: Load, age: Span, part: f64) {
         let Some(streamer) = self.streamers.get_mut(at) else { return };
-        // After an own pause old notes come at once: what the overdue beat says of it, they are older.
-        let of = now - age - (now - self.wake_at).max(Span::ZERO);
+        let of = now - age;
         if let Some(full) = load.link {
             streamer.link.tell(of, full, part);
         }
