--- a/src/control.rs
+++ b/src/control.rs
@@ -265,6 +265,8 @@
         };
         // Hundreds of controllers each hear from few streamers: a holder without news is looked at first.
         let unheard = self.streamers[at].link.told.is_none_or(|told| now - told > self.rules.lapse());
+        // Symptom: starts that step down within a second, as their holder turns out to be crowded.
+        let rung = if unheard { rung.saturating_sub(1).max(floor) } else { rung };
         let (held, goal) = (&mut self.held[place], self.lanes[lane].goal);
         let early = held.shots == 0 && held.looks < LOOKS && held.cut_off - now > goal;
         if unheard && early && flag(&self.rules.sheet, "looks.allowed") {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -89,6 +89,16 @@
     assert!(sends[..COPIES].iter().all(|n| (25..60).contains(n)), "{sends:?}");
 }
 
+/// Starts at holders without news stepped down within a second: one rung lower, they climb when news comes.
+#[test]
+fn a_start_without_news_is_one_rung_lower() {
+    let (mut on, now) = lone(&[]);
+    on.take(now, &wish(1, FREE, "t", 0, now + seconds(9.0)));
+    on.inherit(now, &wish(2, FREE, "u", 3, now), "s3").load(&mut on, now, Load::link(0.0));
+    on.take(now, &Wish { copies: 1, ..wish(3, FREE, "u", 3, now + seconds(9.0)) });
+    assert_eq!(on.results.rungs, [(1, 1), (3, 2)]);
+}
+
 /// A crossing costs points: among equals the own zone goes first, but a full one does not.
 #[test]
 fn the_own_zone_goes_first_among_equals() {
