--- a/src/books.rs
+++ b/src/books.rs
@@ -39,6 +39,16 @@
     pub born: Point,
 }
 
+/// What is known of the whole fleet: the mean fullness of its links and, where told of, uplinks; the part of it
+/// that is heard from; and the gain per kB that a step must earn.
+#[derive(Default)]
+pub struct Fleet {
+    pub mean_full: f64,
+    pub mean_uplink: Option<f64>,
+    pub heard: f64,
+    pub price: Option<f64>,
+}
+
 /// The streamers that hold a title, out of so many on the list, and the kept one with when it was chosen.
 #[derive(Default)]
 pub struct Title {
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
 //!
 //! The ordinary path is `Controller::place`: smallest phi = 1 / ((x + 1) * a) among the holders.
 
-use crate::books::{HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title};
+use crate::books::{Fleet, HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title};
 use crate::chance::Chance;
 use crate::clock::{Point, Span};
 use crate::interface::{
@@ -80,10 +80,7 @@
     further: VecDeque<Point>,
     chance: Chance,
     wake_at: Point,
-    /// The fleet's mean fullness, and the gain per kB that a step must earn, as far as is known.
-    mean_full: f64,
-    mean_uplink: f64,
-    price: Option<f64>,
+    fleet: Fleet,
     pub results: Results,
 }
 
@@ -129,9 +126,7 @@
             further: VecDeque::with_capacity(64),
             chance: Chance::from_seed(seed),
             wake_at: now,
-            mean_full: 0.0,
-            mean_uplink: f64::NEG_INFINITY,
-            price: None,
+            fleet: Fleet::default(),
             results: Results::default(),
         }
     }
@@ -236,7 +231,7 @@
 
     /// The ordinary path of a subscription, from top to bottom.
     fn place(&mut self, now: Point, place: usize) {
-        let fair = self.fair_rung(place);
+        let fair = self.fair_rung(place, 1.0);
         let held = &self.held[place];
         let (lane, floor) = (held.lane, held.floor);
         let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
@@ -251,7 +246,7 @@
         // share; where nobody has shares, when it falls well short. Symptom: links full of the cheapest wishes.
         let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
         let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
-        let part = self.price.map_or(1.0, |price| best / price.max(1e-12));
+        let part = self.fleet.price.map_or(1.0, |price| best / price.max(1e-12));
         let past = 1.0 - held.gain / terms.gain;
         if part < POOR && self.tenants.is_empty()
             || part < 1.0 && past > 0.0 && self.chance.between(0.0, SURELY_PAST) < past
@@ -385,10 +380,10 @@
         let link = &self.streamers[at].link;
         let Some(told) = link.told else {
             let others = 1.0 - 1.0 / self.rules.controllers();
-            return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.mean_full.min(FILL);
+            return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.fleet.mean_full.min(FILL);
         };
         let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
-        link.fullness() + stale * (self.mean_full - link.full).max(0.0)
+        link.fullness() + stale * (self.fleet.mean_full - link.full).max(0.0)
     }
 
     /// A cold streamer's link is cold too.
@@ -419,7 +414,8 @@
 
     /// The same, or the fleet's mean where uplinks are told of, but not this one.
     fn uplink_fullness(&self, now: Point, at: usize) -> f64 {
-        self.told_uplink(now, at).unwrap_or(self.mean_uplink.min(FILL))
+        let mean = self.fleet.mean_uplink.map_or(f64::NEG_INFINITY, |mean| mean.min(FILL));
+        self.told_uplink(now, at).unwrap_or(mean)
     }
 
     /// Enters an own change at a streamer into its accounts.
@@ -433,12 +429,12 @@
     }
 
     /// The highest rung whose every step is worth the fleet's price; with no account, the ladder's middle.
-    fn fair_rung(&self, place: usize) -> usize {
+    fn fair_rung(&self, place: usize, part: f64) -> usize {
         let held = &self.held[place];
-        let Some(price) = self.price else {
+        let Some(price) = self.fleet.price else {
             return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
         };
-        let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price);
+        let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price * part);
         worth.last().unwrap_or(held.floor)
     }
 
@@ -472,8 +468,9 @@
         let told = ready().filter(fresh).count() as f64;
         let trust = told / (told + 1.0);
         let full = trust * tight / weight + (1.0 - trust) * guess;
-        self.mean_uplink = if of_uplinks > 0.0 { uplinks / of_uplinks } else { f64::NEG_INFINITY };
-        self.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
+        self.fleet.mean_uplink = (of_uplinks > 0.0).then(|| uplinks / of_uplinks);
+        self.fleet.heard = part;
+        self.fleet.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
         }
@@ -489,7 +486,7 @@
             left < 0.0
         });
         let price = dearest.map_or(0.0, |step| step.1);
-        self.price = Some(self.price.map_or(price, |old| old + SMOOTH * (price - old)));
+        self.fleet.price = Some(self.fleet.price.map_or(price, |old| old + SMOOTH * (price - old)));
         full
     }
 
@@ -595,7 +592,7 @@
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
         // Handed over more than the fleet gives: step down before the first late notes tell.
-        let early = self.price.is_none();
+        let early = self.fleet.price.is_none();
         let full = self.appraise(now);
         for at in 0..self.streamers.len() {
             self.relieve(now, at, now, if early { full } else { 0.0 });
@@ -612,11 +609,13 @@
             return;
         }
         let full = self.fullness(now, at).max(self.uplink_fullness(now, at)).max(0.02);
+        // Room that few controllers hear of is not filled by starts: there link is cheaper.
+        let cheap = 1.0 - (1.0 - self.fleet.heard) * (1.0 - full / FILL).max(0.0);
         let mut room = streamer.own_kb * (FILL * self.warmth(now, at) / full - 1.0);
         while room > 0.0 {
             let next = |s: &Subscription| self.step(s, s.rung + 1);
             let quiet = self.held.iter().filter(|(_, s)| s.plays_at(at) && now >= s.climb_at);
-            let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place));
+            let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place, cheap));
             let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
             let Some((place, held)) = best else { return };
             let (kb, rung) = (next(held).0, held.rung + 1);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -99,6 +99,28 @@
     assert_eq!(on.results.rungs, [(1, 1), (3, 2)]);
 }
 
+/// Streamers with room that few controllers hear of stayed empty, as climbs paid the price of the crowded ones.
+#[test]
+fn climbs_pay_less_where_there_is_room_that_few_hear_of() {
+    let now = Point::at(100.0);
+    let mut on = Controller::start(now, 7, &sheet(0, 12, &[]));
+    on.learn(now, &fleet(), true);
+    let (roomy, crowded) = (on.inherit(now, &wish(1, FREE, "t", 0, now), "s0"), 3..6);
+    roomy.at_rung(&mut on, now, 2);
+    for id in crowded {
+        on.inherit(now, &wish(id, PAID, "u", 5, now), "s5").at_rung(&mut on, now, 2);
+    }
+    let mut climbs = 0;
+    for beat in 1..60 {
+        let at = now + seconds(0.3 * f64::from(beat));
+        roomy.load(&mut on, at, Load::link(0.2));
+        on.wake(at);
+        climbs += on.results.rungs.iter().filter(|(id, rung)| *id == 1 && *rung > 2).count();
+        on.results.clear();
+    }
+    assert!(climbs > 0);
+}
+
 /// A crossing costs points: among equals the own zone goes first, but a full one does not.
 #[test]
 fn the_own_zone_goes_first_among_equals() {
