--- a/src/control.rs
+++ b/src/control.rs
@@ -28,8 +28,6 @@
 const BRIM: f64 = 0.98;
 /// Fullness from which playing subscriptions step down; lower figures are mostly noise.
 const PRESSED: f64 = 1.05;
-/// How much rarer, or more frequent, what a step earns against the price makes it.
-const DEAR: f64 = 0.5;
 /// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
 const QUIET: (f64, f64) = (2.0, 4.0);
 /// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
@@ -244,8 +242,8 @@
         if no_seat || spent {
             return self.give_up(place);
         }
-        // No rung earns what its link is worth elsewhere: turned back by the chance that it is past its tenant's
-        // share; where nobody has shares, when it falls well short. Symptom: links full of the cheapest wishes.
+        // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a tenant's
+        // share; where nobody has one, when it falls well short. Symptom: links full of the cheapest wishes.
         let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
         let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
         let part = self.fleet.price.map_or(1.0, |price| best / price.max(1e-12));
@@ -528,9 +526,9 @@
         self.relieve(now, at, of, self.fullness(now, at).max(self.uplink_fullness(now, at)));
     }
 
-    /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share that
-    /// everybody has to, cheapest steps first; the remainder goes by chance, rarer for dear steps where others
-    /// that are not heard may hold cheaper ones. Symptom: whole steps of hundreds for one small need.
+    /// Steps down at a streamer that is asked for more than it gives: own subscriptions shrink by the share
+    /// that everybody has to, cheapest steps first; a step larger than what is left goes by chance, so that
+    /// all controllers together free what is missing. Symptom: hundreds of whole steps for one small need.
     fn relieve(&mut self, now: Point, at: usize, of: Point, full: f64) {
         if full <= PRESSED || of <= self.streamers[at].acted {
             return;
@@ -543,9 +541,8 @@
             let own = self.held.iter().filter(|(_, s)| steady(s));
             let cheapest = own.min_by(|a, b| price(a.1).total_cmp(&price(b.1)));
             let Some((place, held)) = cheapest else { return };
-            let ((kb, earns), rung) = (self.step(held, held.rung), held.rung - 1);
-            let cheap = self.fleet.price.map_or(1.0, |price| (price / earns).clamp(DEAR, 1.0 / DEAR));
-            if self.chance.between(0.0, kb) < missing * cheap.powf(1.0 - self.fleet.heard) {
+            let (kb, rung) = (self.step(held, held.rung).0, held.rung - 1);
+            if self.chance.between(0.0, kb) < missing {
                 self.set_rung(now, place, rung);
             }
             missing -= kb;
