--- a/src/books.rs
+++ b/src/books.rs
@@ -39,8 +39,8 @@
     pub born: Point,
 }
 
-/// What is known of the whole fleet: the mean fullness of its links and, where told of, uplinks; the part that
-/// is heard from; and the gain per kB that a step must earn.
+/// What is known of the whole fleet: the mean fullness of its links and, where told of, uplinks; the part
+/// that is heard from; and the gain per kB that a step must earn.
 #[derive(Default)]
 pub struct Fleet {
     pub mean_full: f64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -242,8 +242,8 @@
         if no_seat || spent {
             return self.give_up(place);
         }
-        // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a tenant's
-        // share; where nobody has one, when it falls well short. Symptom: links full of the cheapest wishes.
+        // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a
+        // tenant's share; where nobody has one, when it falls well short. Symptom: links full of cheap wishes.
         let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
         let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
         let part = self.fleet.price.map_or(1.0, |price| best / price.max(1e-12));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -99,7 +99,7 @@
     assert_eq!(on.results.rungs, [(1, 1), (3, 2)]);
 }
 
-/// Streamers with room that few controllers hear of stayed empty, as climbs paid the price of the crowded ones.
+/// Streamers with room that few hear of stayed empty, as climbs paid the price of the crowded ones.
 #[test]
 fn climbs_pay_less_where_there_is_room_that_few_hear_of() {
     let now = Point::at(100.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,9 +6,10 @@
 use common::*;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
-use lemontide::interface::{Ending, Load, Stage};
+use lemontide::interface::{Ending, Load, Sheet, Stage, Value};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 const SEATS: usize = 2;
 const MOST: u32 = 3;
@@ -22,6 +23,7 @@
     Leave { pick: usize },
     Stage { cell: usize, stage: Stage, restarted: bool },
     Full { pick: usize, full: f64 },
+    Look { pick: usize, sound: bool, full: f64 },
     Pass { seconds: f64 },
 }
 
@@ -46,10 +48,19 @@
             cell, stage, restarted
         }),
         2 => (any::<usize>(), 0.0..1.6).prop_map(|(pick, full)| Step::Full { pick, full }),
+        4 => (any::<usize>(), any::<bool>(), 0.0..1.6)
+            .prop_map(|(pick, sound, full)| Step::Look { pick, sound, full }),
         3 => (0.01..1.5).prop_map(|seconds| Step::Pass { seconds }),
     ]
 }
 
+/// The first controller may look at streamers, the second may not.
+fn settings(me: usize, more: &[(&str, f64)]) -> Sheet {
+    let mut sheet = sheet(me, 2, more);
+    sheet.insert("looks.allowed".to_owned(), Value::Flag(me == 0));
+    sheet
+}
+
 /// What the model knows of one subscription.
 struct Case {
     to: usize,
@@ -64,6 +75,8 @@
     plays: bool,
     answered: u32,
     gone: bool,
+    /// Until when it may wait for looks.
+    waits: Point,
 }
 
 impl Case {
@@ -82,6 +95,8 @@
     further: Vec<Vec<Point>>,
     /// Sends to streamers while they were cold, by both controllers.
     cold: Vec<Vec<Point>>,
+    /// Looks under way, by controller.
+    looks: Vec<(usize, Rc<str>)>,
 }
 
 impl Model {
@@ -95,7 +110,7 @@
             ("ration.window", RATION.2),
         ];
         let mut controllers: Vec<_> =
-            (0..2).map(|me| Controller::start(now, me as u64, &sheet(me, 2, &more))).collect();
+            (0..2).map(|me| Controller::start(now, me as u64, &settings(me, &more))).collect();
         for controller in &mut controllers {
             controller.learn(now, &fleet(), true);
         }
@@ -108,6 +123,7 @@
             taken: vec![Vec::new(); 2],
             further: vec![Vec::new(); 2],
             cold: vec![Vec::new(); STREAMERS],
+            looks: Vec::new(),
         }
     }
 
@@ -168,9 +184,13 @@
             assert!(case.paid && case.ran, "scrapped though it could be turned back");
             case.answered += 1;
         }
-        // An answer is owed at once: whoever has no shot out and does not play was answered just now.
+        self.looks.extend(results.looks.into_iter().map(|streamer| (to, streamer)));
+        // Who waits for a look is answered within some beats; else an answer is owed at once: whoever has no shot out
+        // and does not play was answered just now.
         for (id, case) in self.cases.iter().filter(|(_, c)| c.to == to && !c.gone) {
-            assert_eq!(u32::from(!case.seated()), case.answered, "subscription {id} lacks its one answer");
+            let waits = to == 0 && case.shots == 0 && case.answered == 0 && self.now < case.waits;
+            let owed = u32::from(!case.seated() && !waits);
+            assert_eq!(owed, case.answered, "subscription {id} lacks its one answer");
         }
     }
 
@@ -190,17 +210,21 @@
         }
     }
 
+    /// Lets time go by in beats: shots run out, controllers are woken.
     fn pass(&mut self, until: Point) {
-        loop {
-            let due = self.cases.iter().filter_map(|(id, c)| Some((c.out?, *id))).min();
-            let Some((at, id)) = due.filter(|(at, _)| *at <= until) else { break };
-            self.now = self.now.max(at);
-            self.end(id, Ending::TimedOut);
-        }
-        self.now = self.now.max(until);
-        for to in 0..2 {
-            self.controllers[to].wake(self.now);
-            self.obey(to);
+        while self.now < until {
+            let beat = until.min(self.now + seconds(0.25));
+            loop {
+                let due = self.cases.iter().filter_map(|(id, c)| Some((c.out?, *id))).min();
+                let Some((at, id)) = due.filter(|(at, _)| *at <= beat) else { break };
+                self.now = self.now.max(at);
+                self.end(id, Ending::TimedOut);
+            }
+            self.now = beat;
+            for to in 0..2 {
+                self.controllers[to].wake(self.now);
+                self.obey(to);
+            }
         }
     }
 
@@ -226,6 +250,7 @@
                     plays: false,
                     answered: 0,
                     gone: false,
+                    waits: self.now + seconds(2.0),
                 };
                 self.taken[to].push(self.now);
                 self.cases.insert(id, case);
@@ -274,6 +299,13 @@
                     self.obey(to);
                 }
             }
+            Step::Look { pick, sound, full } if !self.looks.is_empty() => {
+                let (to, streamer) = self.looks.swap_remove(pick % self.looks.len());
+                let load = if sound { Load::link(full) } else { Load::default() };
+                self.controllers[to].looked(self.now, &streamer, sound, load);
+                self.obey(to);
+            }
+            Step::Look { .. } => {}
             Step::Pass { seconds: s } => self.pass(self.now + seconds(s)),
         }
     }
