--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,6 @@
 //! for each wish, which gives a `Handle`, and all that happens to that subscription later is a call on its
 //! handle. Every call leaves what has to be done in `results`; do it, clear it, and call `wake` when it asks.
 //! The types of these calls are in `interface.rs`, time in `clock.rs`, chance in `chance.rs`.
-//!
 //! The ordinary path is `Controller::place`: smallest phi = 1 / ((x + 1) * a) among the holders.
 
 use crate::books::{Fleet, HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title};
@@ -30,7 +29,7 @@
 const PRESSED: f64 = 1.05;
 /// Random quiet wait before a climb, in seconds; the longer end also parts two climbs.
 const QUIET: (f64, f64) = (2.0, 4.0);
-/// How old the news in an answer is taken to be, and the part by which its noisy figure moves what is known.
+/// How old news in an answer is taken to be, and the part by which its noisy figure moves what is known.
 const ANSWER_AGE: Span = Span::of_millis(400);
 const ANSWER_PART: f64 = 0.2;
 /// Seconds after which what was told counts as the fleet's mean; part by which a new price moves the old.
@@ -694,7 +693,9 @@
                 _ => {}
             }
         }
-        on.hear(now, at, load, ANSWER_AGE, ANSWER_PART);
+        // A streamer that sends a shot back means what it says. Symptom: shot after shot at full streamers.
+        let part = if ending == Ending::SentBack { 1.0 } else { ANSWER_PART };
+        on.hear(now, at, load, ANSWER_AGE, part);
         if finished {
             on.held.remove(self.place);
         } else if on.held[self.place].may_have_run && on.lanes[lane].paid {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -121,6 +121,18 @@
     assert!(climbs > 0);
 }
 
+/// A streamer that sent a shot back as full got the next one too, as its report was taken for noise.
+#[test]
+fn a_shot_sent_back_tells_that_the_link_is_full() {
+    let (mut on, now) = lone(&[]);
+    let handle = on.take(now, &Wish { copies: 1, ..wish(1, FREE, "t", 0, now + seconds(9.0)) });
+    handle.load(&mut on, now, Load::link(0.2));
+    handle.ended(&mut on, now + seconds(1.0), Ending::SentBack, false, Load::link(1.0));
+    on.results.clear();
+    on.take(now + seconds(2.5), &Wish { copies: 1, ..wish(2, FREE, "t", 0, now + seconds(9.0)) });
+    assert_eq!((on.results.shots.len(), on.results.turned_back.len()), (0, 1));
+}
+
 /// A crossing costs points: among equals the own zone goes first, but a full one does not.
 #[test]
 fn the_own_zone_goes_first_among_equals() {
