--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -127,7 +127,7 @@
     let (mut on, now) = lone(&[]);
     let handle = on.take(now, &Wish { copies: 1, ..wish(1, FREE, "t", 0, now + seconds(9.0)) });
     handle.load(&mut on, now, Load::link(0.2));
-    handle.ended(&mut on, now + seconds(1.0), Ending::SentBack, false, Load::link(1.0));
+    handle.ended(&mut on, now + seconds(1.0), Ending::SentBack, false, Load::link(1.1));
     on.results.clear();
     on.take(now + seconds(2.5), &Wish { copies: 1, ..wish(2, FREE, "t", 0, now + seconds(9.0)) });
     assert_eq!((on.results.shots.len(), on.results.turned_back.len()), (0, 1));
