--- a/src/control.rs
+++ b/src/control.rs
@@ -590,9 +590,10 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        // Handed over more than the fleet gives: step down before the first late notes tell.
-        let early = self.fleet.price.is_none();
-        let full = self.appraise(now);
+        // Handed over more than the fleet gives: step down before the first late notes tell, as far as own ones
+        // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
+        let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
+        let full = self.appraise(now) * own / (own + self.rules.controllers());
         for at in 0..self.streamers.len() {
             self.relieve(now, at, now, if early { full } else { 0.0 });
             self.climb(now, at);
