--- a/src/control.rs
+++ b/src/control.rs
@@ -462,10 +462,8 @@
         }
         let racks: f64 = self.racks.iter().map(|rack| rack.kb).sum();
         let capacity = if racks > 0.0 { links.min(racks) } else { links }.max(1e-9);
-        // While little was told, the others are taken to hold as much as this controller does, as far as own ones
-        // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
-        let (count, controllers) = (self.held.len() as f64, self.rules.controllers());
-        let guess = FILL + (own * controllers / capacity - FILL) * count / (count + controllers);
+        // While little was told, the others are taken to hold as much as this controller does.
+        let guess = own * self.rules.controllers() / capacity;
         let told = ready().filter(fresh).count() as f64;
         let trust = told / (told + 1.0);
         let full = trust * tight / weight + (1.0 - trust) * guess;
@@ -592,9 +590,10 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        // Handed over more than the fleet gives: step down before the first late notes tell.
-        let early = self.fleet.price.is_none();
-        let full = self.appraise(now);
+        // Handed over more than the fleet gives: step down before the first late notes tell, as far as own ones
+        // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
+        let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
+        let full = self.appraise(now) * own / (own + self.rules.controllers());
         for at in 0..self.streamers.len() {
             self.relieve(now, at, now, if early { full } else { 0.0 });
             self.climb(now, at);
