A price by guess gives way at once to one by news

Cause: the first price comes from a guess (own load times controllers) and was smoothed away over seconds only, so that a leaning controller kept its rungs low.

--- a/src/control.rs
+++ b/src/control.rs
@@ -108,7 +108,6 @@
             let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
             Some(Tenant { name, quota_per_s, count: None, counted: now })
         };
-        let uplink = Pipe::of_size(read("rack.kb", 0.0));
         Controller {
             rules: HouseRules { sheet: sheet.clone(), born: now },
             ladder,
@@ -116,7 +115,7 @@
             tenants: (0..).map_while(tenant).collect(),
             streamers: Vec::new(),
             by_name: HashMap::new(),
-            racks: vec![uplink; read("rack.count", 1.0).max(1.0) as usize],
+            racks: vec![Pipe::of_size(read("rack.kb", 0.0)); read("rack.count", 1.0).max(1.0) as usize],
             titles: Vec::new(),
             by_title: HashMap::new(),
             held: Slab::with_capacity(256),
@@ -480,12 +479,13 @@
             steps.extend((held.floor + 1..=held.top).map(|rung| self.step(held, rung)));
         }
         steps.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let dearest = steps.iter().find(|(kb, _)| {
+        let unfit = |(kb, _): &&(f64, f64)| {
             left -= kb;
             left < 0.0
-        });
-        let price = dearest.map_or(0.0, |step| step.1);
-        self.fleet.price = Some(self.fleet.price.map_or(price, |old| old + SMOOTH * (price - old)));
+        };
+        let price = steps.iter().find(unfit).map_or(0.0, |step| step.1);
+        let part = SMOOTH.max(1.0 - trust);
+        self.fleet.price = Some(self.fleet.price.map_or(price, |old| old + part * (price - old)));
         full
     }
 
@@ -588,8 +588,7 @@
         self.ask_wake(now);
         self.resume(now, |s| now - s.changed >= BEAT);
         let window = span(&self.rules.sheet, "ration.window");
-        self.taken.retain(|t| now - *t <= window);
-        self.further.retain(|t| now - *t <= window);
+        [&mut self.taken, &mut self.further].map(|times| times.retain(|t| now - *t <= window));
         // Handed over more than the fleet gives: step down before the first late notes tell, as far as own ones
         // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
         let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -133,6 +133,24 @@
     assert_eq!((on.results.shots.len(), on.results.turned_back.len()), (0, 1));
 }
 
+/// A controller that viewers lean to took the others to hold as many and stepped down in an empty fleet; where own
+/// subscriptions outnumber the controllers, what was handed over does tell.
+#[test]
+fn a_start_steps_down_as_far_as_own_subscriptions_prove() {
+    for (controllers, own, steps) in [(200, 5, false), (2, 60, true)] {
+        let now = Point::at(100.0);
+        let mut on = Controller::start(now, 7, &sheet(0, controllers, &[]));
+        on.learn(now, &fleet(), true);
+        for id in 0..own {
+            let handle =
+                on.inherit(now, &wish(id, FREE, "t", 0, now), &format!("s{}", id % STREAMERS as u32));
+            handle.at_rung(&mut on, now, 2);
+        }
+        on.wake(now + seconds(0.3));
+        assert_eq!(!on.results.rungs.is_empty(), steps, "{controllers} controllers");
+    }
+}
+
 /// A crossing costs points: among equals the own zone goes first, but a full one does not.
 #[test]
 fn the_own_zone_goes_first_among_equals() {
