--- a/src/control.rs
+++ b/src/control.rs
@@ -446,12 +446,12 @@
         let links: f64 = ready().map(|at| self.streamers[at].link.kb).sum();
         let heard: f64 = ready().filter(fresh).map(|at| self.streamers[at].link.kb).sum();
         // A controller that hears a small part of the fleet hears the crowded ones more often.
-        let part = heard / links.max(1e-9);
+        self.fleet.heard = heard / links.max(1e-9);
         let (mut weight, mut asked, mut tight) = (1e-9, 0.0, 0.0);
         let (mut of_uplinks, mut uplinks) = (0.0, 0.0);
         for at in ready().filter(fresh) {
             let full = self.streamers[at].link.fullness().max(0.05);
-            let heavy = self.streamers[at].link.kb / full.powf(1.0 - part);
+            let heavy = self.streamers[at].link.kb / full.powf(1.0 - self.fleet.heard);
             weight += heavy;
             asked += heavy * full;
             let uplink = self.told_uplink(now, at);
@@ -467,7 +467,6 @@
         let trust = told / (told + 1.0);
         let full = trust * tight / weight + (1.0 - trust) * guess;
         self.fleet.mean_uplink = (of_uplinks > 0.0).then(|| uplinks / of_uplinks);
-        self.fleet.heard = part;
         self.fleet.mean_full = trust * asked / weight + (1.0 - trust) * guess * capacity / links.max(1e-9);
         if own <= 0.0 || full <= 0.0 {
             return full;
@@ -588,7 +587,8 @@
         self.ask_wake(now);
         self.resume(now, |s| now - s.changed >= BEAT);
         let window = span(&self.rules.sheet, "ration.window");
-        [&mut self.taken, &mut self.further].map(|times| times.retain(|t| now - *t <= window));
+        self.taken.retain(|t| now - *t <= window);
+        self.further.retain(|t| now - *t <= window);
         // Handed over more than the fleet gives: step down before the first late notes tell, as far as own ones
         // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
         let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
