--- /dev/null
+++ b/crates/lemontide-wire/src/cmsd.rs
@@ -0,0 +1,127 @@
+//! Common Media Server Data (CTA-5006): what a streamer says of its load, and what a player is told.
+//! Own keys carry the prefix that the specification asks of custom ones.
+
+use sfv::{
+    BareItem, Decimal, DictSerializer, Integer, KeyRef, List, ListEntry, ListSerializer, Parser, StringRef,
+    TokenRef,
+};
+
+pub const STATIC: &str = "cmsd-static";
+pub const DYNAMIC: &str = "cmsd-dynamic";
+const STREAMS: &str = "dk.lemontide-streams";
+const LINK: &str = "dk.lemontide-link";
+const RACK: &str = "dk.lemontide-rack";
+const LONGEST: usize = 2048;
+
+/// One server's entry of CMSD-Dynamic. The load report travels in it: streams run or set up, and what is
+/// asked of the link and of the rack's uplink over what they give.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Dynamic {
+    pub server: String,
+    /// `mb`: the highest bitrate suggested, kbit/s.
+    pub suggested_kbps: Option<u64>,
+    /// `du`: in duress.
+    pub duress: bool,
+    pub streams: Option<f64>,
+    pub link: Option<f64>,
+    pub rack: Option<f64>,
+}
+
+impl Dynamic {
+    /// As a list of one entry; the name is cut to what a structured string can carry.
+    pub fn write(&self) -> String {
+        let name: String = self.server.chars().filter(|c| (' '..='~').contains(c)).collect();
+        let mut list = ListSerializer::new();
+        if let Ok(name) = StringRef::from_str(&name) {
+            let mut item = list.bare_item(name);
+            for (key, value) in [(STREAMS, self.streams), (LINK, self.link), (RACK, self.rack)] {
+                let value = value.filter(|v| v.is_finite()).map(|v| Decimal::try_from(v.clamp(0.0, 1e9)));
+                if let (Ok(key), Some(Ok(value))) = (KeyRef::from_str(key), value) {
+                    item = item.parameter(key, value);
+                }
+            }
+            let suggested = self.suggested_kbps.map(|kbps| Integer::try_from(kbps.min(1 << 40)));
+            if let (Ok(key), Some(Ok(kbps))) = (KeyRef::from_str("mb"), suggested) {
+                item = item.parameter(key, kbps);
+            }
+            if let (Ok(key), true) = (KeyRef::from_str("du"), self.duress) {
+                item.parameter(key, true);
+            }
+        }
+        list.finish().unwrap_or_default()
+    }
+
+    /// Reads the last entry of a list, which is the nearest server's; none where the field is no valid list.
+    pub fn read(field: &str) -> Option<Dynamic> {
+        if field.len() > LONGEST {
+            return None;
+        }
+        let list = Parser::new(field).parse::<List>().ok()?;
+        let Some(ListEntry::Item(item)) = list.last() else { return None };
+        let server = match &item.bare_item {
+            BareItem::String(name) => name.as_str().to_owned(),
+            BareItem::Token(name) => name.as_str().to_owned(),
+            _ => return None,
+        };
+        let mut dynamic = Dynamic { server, ..Dynamic::default() };
+        for (key, value) in &item.params {
+            let number = match value {
+                BareItem::Decimal(d) => Some(f64::from(*d)),
+                BareItem::Integer(n) => Some(i64::from(*n) as f64),
+                _ => None,
+            };
+            match key.as_str() {
+                STREAMS => dynamic.streams = number,
+                LINK => dynamic.link = number,
+                RACK => dynamic.rack = number,
+                "mb" => dynamic.suggested_kbps = number.filter(|n| *n >= 0.0).map(|n| n as u64),
+                "du" => dynamic.duress = *value == BareItem::Boolean(true),
+                _ => {}
+            }
+        }
+        Some(dynamic)
+    }
+}
+
+/// CMSD-Static of an answer that plays: video, and the encoded bitrate in kbit/s.
+pub fn fixed(bitrate_kbps: u64, live: bool) -> String {
+    let mut fields = DictSerializer::new();
+    if let (Ok(key), Ok(kbps)) = (KeyRef::from_str("br"), Integer::try_from(bitrate_kbps.min(1 << 40))) {
+        fields.bare_item(key, kbps);
+    }
+    for (key, value) in [("ot", "v"), ("st", if live { "l" } else { "v" })] {
+        if let (Ok(key), Ok(value)) = (KeyRef::from_str(key), TokenRef::from_str(value)) {
+            fields.bare_item(key, value);
+        }
+    }
+    fields.finish().unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_comes_back_as_it_went() {
+        let said = Dynamic {
+            server: "s1".into(),
+            suggested_kbps: Some(6400),
+            duress: true,
+            streams: Some(12.0),
+            link: Some(0.75),
+            rack: Some(1.25),
+        };
+        assert_eq!(Dynamic::read(&said.write()), Some(said));
+        assert_eq!(fixed(6400, false), "br=6400, ot=v, st=v");
+    }
+
+    #[test]
+    fn others_entries_and_keys_pass_and_garbage_is_none() {
+        let read = Dynamic::read("\"cdn\";etp=96, \"s1\";com.example-k=2;dk.lemontide-link=0.5;rd=\"x\"");
+        assert_eq!(read.map(|d| (d.server, d.link)), Some(("s1".into(), Some(0.5))));
+        assert_eq!(Dynamic::read("\"unclosed"), None);
+        assert_eq!(Dynamic::read(&"a,".repeat(LONGEST)), None);
+        let odd = Dynamic { server: "å\u{7}".into(), link: Some(f64::NAN), ..Dynamic::default() };
+        assert_eq!(odd.write(), "\"\"");
+    }
+}
