--- /dev/null
+++ b/crates/lemontide-front/src/core/links.rs
@@ -0,0 +1,266 @@
+//! The state of one link to a streamer: when it is dialled, what waits to be written, when it counts as lost.
+//! The I/O does what is said here and reports back under the number of the dial; reports of older dials are
+//! stale and change nothing.
+
+use lemontide::clock::{Point, Span};
+use lemontide_wire::link::Order;
+use std::collections::VecDeque;
+
+/// Without a word for so long the other end is gone, though the connection looks open.
+const SILENCE: Span = Span::of_millis(3000);
+/// A word is asked for when there was none for so long.
+const PING_AFTER: Span = Span::of_millis(1000);
+/// Orders that may wait for a link; a set-up beyond them is told as never sent.
+const QUEUE_MOST: usize = 512;
+/// Orders handed over in one go: few enough that little is in doubt when the link is cut.
+const BATCH_MOST: usize = 32;
+/// First wait before a link is dialled again, the longest one, and the least span between two dials.
+const REDIAL: Span = Span::of_millis(200);
+const REDIAL_LONGEST: Span = Span::of_millis(4000);
+const REDIAL_LEAST: Span = Span::of_millis(100);
+/// A gap between two looks at the clock from which this process stood still itself.
+const STALL: Span = Span::of_millis(500);
+
+/// An order that waits or is being written. A set-up is named by `shot`, and must not be written any more after
+/// `not_after`: by then it is no longer what the module decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queued {
+    pub order: Order,
+    pub shot: Option<(u32, u32)>,
+    pub not_after: Option<Point>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// Not connected; dialled again at that moment.
+    Down { redial: Point },
+    Dialling { until: Point },
+    Up { heard: Point, pinged: Point, writing: Option<Point> },
+}
+
+/// What a look at the clock found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Fine,
+    /// Dial it.
+    Dial,
+    /// Ask it for a word.
+    Ping,
+    /// Close it: it is half open, or the dial took too long.
+    Lost,
+}
+
+pub struct Link {
+    /// Number of the last dial.
+    pub dial: u64,
+    state: State,
+    failures: u32,
+    dialled: Option<Point>,
+    queue: VecDeque<Queued>,
+    /// Whether the list still names it; one that is gone is not dialled again.
+    pub wanted: bool,
+}
+
+impl Link {
+    pub fn new(now: Point) -> Link {
+        let state = State::Down { redial: now };
+        Link { dial: 0, state, failures: 0, dialled: None, queue: VecDeque::new(), wanted: true }
+    }
+
+    pub fn is_up(&self) -> bool {
+        matches!(self.state, State::Up { .. })
+    }
+
+    pub fn is_dialling(&self) -> bool {
+        matches!(self.state, State::Dialling { .. })
+    }
+
+    /// Starts a dial; its number.
+    pub fn start_dial(&mut self, now: Point, timeout: Span) -> u64 {
+        self.dial += 1;
+        self.dialled = Some(now);
+        self.state = State::Dialling { until: now + timeout };
+        self.dial
+    }
+
+    /// Whether something to be sent at once may start a dial now, whatever wait is left.
+    pub fn may_dial(&self, now: Point) -> bool {
+        let rested = self.dialled.is_none_or(|at| now - at >= REDIAL_LEAST);
+        self.wanted && rested && matches!(self.state, State::Down { .. })
+    }
+
+    pub fn up(&mut self, now: Point) {
+        self.failures = 0;
+        self.state = State::Up { heard: now, pinged: now, writing: None };
+    }
+
+    /// The link is down. It is dialled again after a wait that doubles with each failure and is spread by
+    /// `chance` in 0 to 1, so that a fleet of controllers does not come back in one moment.
+    pub fn down(&mut self, now: Point, chance: f64) {
+        let doubled = REDIAL * f64::from(1u32 << self.failures.min(10));
+        let wait = doubled.min(REDIAL_LONGEST) * (0.5 + chance);
+        self.failures += 1;
+        self.state = State::Down { redial: now + wait };
+    }
+
+    pub fn heard(&mut self, now: Point) {
+        if let State::Up { heard, .. } = &mut self.state {
+            *heard = now;
+        }
+    }
+
+    /// Puts an order in the queue; given back where there is no room.
+    pub fn push(&mut self, order: Queued) -> Result<(), Queued> {
+        if self.queue.len() >= QUEUE_MOST {
+            return Err(order);
+        }
+        self.queue.push_back(order);
+        Ok(())
+    }
+
+    /// The next orders to write, once the last ones are written.
+    pub fn batch(&mut self, now: Point) -> Vec<Queued> {
+        let State::Up { writing: writing @ None, .. } = &mut self.state else { return Vec::new() };
+        let batch: Vec<_> = self.queue.drain(..self.queue.len().min(BATCH_MOST)).collect();
+        *writing = (!batch.is_empty()).then_some(now);
+        batch
+    }
+
+    pub fn wrote(&mut self) {
+        if let State::Up { writing, .. } = &mut self.state {
+            *writing = None;
+        }
+    }
+
+    /// Takes a waiting set-up out; whether it was there, and so provably never ran.
+    pub fn withdraw(&mut self, shot: (u32, u32)) -> bool {
+        let waiting = self.queue.len();
+        self.queue.retain(|order| order.shot != Some(shot));
+        self.queue.len() < waiting
+    }
+
+    /// Takes out all that waits; the set-ups among it never ran.
+    pub fn withdraw_all(&mut self) -> Vec<(u32, u32)> {
+        self.queue.drain(..).filter_map(|order| order.shot).collect()
+    }
+
+    /// Takes out the waiting set-ups alone.
+    pub fn withdraw_set_ups(&mut self) -> Vec<(u32, u32)> {
+        let shots = self.queue.iter().filter_map(|order| order.shot).collect();
+        self.queue.retain(|order| order.shot.is_none());
+        shots
+    }
+
+    /// A look at the clock, `gap` after the last one. A process that stood still itself has heard nothing for
+    /// that long: its own gap is not the other end's silence.
+    pub fn look(&mut self, now: Point, gap: Span) -> Verdict {
+        match &mut self.state {
+            State::Down { redial } => {
+                if self.wanted && now >= *redial {
+                    return Verdict::Dial;
+                }
+            }
+            State::Dialling { until } => {
+                if gap >= STALL {
+                    *until = *until + gap;
+                }
+                // The I/O keeps the same limit; this one is for a dial that never reports.
+                if now - *until >= SILENCE {
+                    return Verdict::Lost;
+                }
+            }
+            State::Up { heard, pinged, writing } => {
+                if gap >= STALL {
+                    *heard = *heard + gap;
+                    *writing = writing.map(|since| since + gap);
+                }
+                let stuck = writing.is_some_and(|since| now - since >= SILENCE);
+                if now - *heard >= SILENCE || stuck {
+                    return Verdict::Lost;
+                }
+                if now - *heard >= PING_AFTER && now - *pinged >= PING_AFTER {
+                    *pinged = now;
+                    return Verdict::Ping;
+                }
+            }
+        }
+        Verdict::Fine
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use lemontide_wire::link::{Ping, SetUp};
+
+    fn at(s: f64) -> Point {
+        Point::at(1000.0 + s)
+    }
+
+    fn set_up(id: u32) -> Queued {
+        let order = Order::SetUp(SetUp { id, ..SetUp::default() });
+        Queued { order, shot: Some((id, 0)), not_after: None }
+    }
+
+    fn up() -> Link {
+        let mut link = Link::new(at(0.0));
+        link.start_dial(at(0.0), Span::of_millis(250));
+        link.up(at(0.0));
+        link
+    }
+
+    #[test]
+    fn a_half_open_link_is_pinged_then_lost_but_not_for_an_own_stall() {
+        let mut link = up();
+        assert_eq!(link.look(at(0.9), Span::of(0.1)), Verdict::Fine);
+        assert_eq!(link.look(at(1.0), Span::of(0.1)), Verdict::Ping);
+        assert_eq!(link.look(at(1.1), Span::of(0.1)), Verdict::Fine);
+        assert_eq!(link.look(at(3.0), Span::of(0.1)), Verdict::Lost);
+        let mut link = up();
+        assert_eq!(link.look(at(9.0), Span::of(9.0)), Verdict::Fine);
+        assert_eq!(link.look(at(12.0), Span::of(0.1)), Verdict::Lost);
+    }
+
+    #[test]
+    fn an_end_that_never_reads_is_lost_though_it_talks() {
+        let mut link = up();
+        link.push(set_up(1)).expect("there is room");
+        assert_eq!(link.batch(at(0.0)).len(), 1);
+        link.push(set_up(2)).expect("there is room");
+        for tenth in 1..30 {
+            link.heard(at(f64::from(tenth) / 10.0));
+            assert!(link.batch(at(f64::from(tenth) / 10.0)).is_empty());
+        }
+        assert_eq!(link.look(at(3.0), Span::of(0.1)), Verdict::Lost);
+        assert!(link.withdraw((2, 0)) && !link.withdraw((1, 0)), "only what waits never ran");
+    }
+
+    #[test]
+    fn the_queue_is_bounded_and_set_ups_can_be_taken_out() {
+        let mut link = up();
+        let ping = Queued { order: Order::Ping(Ping { nonce: 1 }), shot: None, not_after: None };
+        link.push(ping).expect("there is room");
+        let pushed = (0..2000).take_while(|id| link.push(set_up(*id)).is_ok()).count();
+        assert_eq!(pushed, QUEUE_MOST - 1);
+        assert_eq!(link.withdraw_set_ups().len(), QUEUE_MOST - 1);
+        assert_eq!(link.batch(at(0.0)).len(), 1);
+    }
+
+    #[test]
+    fn redials_back_off_and_spread() {
+        let mut link = Link::new(at(0.0));
+        let mut now = at(0.0);
+        let mut waits = Vec::new();
+        for _ in 0..8 {
+            link.start_dial(now, Span::of_millis(250));
+            link.down(now, 0.5);
+            let State::Down { redial } = link.state else { panic!("it is down") };
+            waits.push((redial - now).seconds());
+            now = redial;
+        }
+        assert_eq!(waits, [0.2, 0.4, 0.8, 1.6, 3.2, 4.0, 4.0, 4.0]);
+        link.wanted = false;
+        assert_eq!(link.look(at(100.0), Span::ZERO), Verdict::Fine);
+        assert!(!link.may_dial(at(100.0)));
+    }
+}
--- /dev/null
+++ b/crates/lemontide-front/src/core/mod.rs
@@ -0,0 +1,17 @@
+//! The driver around the decision module. No sockets, no files, no clock: time, ids and the seed come from
+//! outside, events are calls, and what has to be done is left in `effects`.
+
+mod driver;
+mod links;
+mod viewers;
+
+pub use driver::{Driver, Effect, Held, Terms};
+pub use links::{Link, Queued, Verdict};
+pub use viewers::Viewers;
+
+use lemontide::clock::Point;
+
+/// Seconds of the clock that a moment was made of.
+pub fn seconds(at: Point) -> f64 {
+    (at - Point::default()).seconds()
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -241,7 +241,7 @@
             return self.give_up(place);
         }
         // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a
-        // tenant's share; where nobody has one, when it falls well short. Symptom: links full of cheap wishes.
+        // tenant's share; without shares, when it falls well short. Symptom: links full of cheap wishes.
         let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
         let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
         let part = self.fleet.price.map_or(1.0, |price| best / price.max(1e-12));
@@ -589,8 +589,8 @@
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
         self.further.retain(|t| now - *t <= window);
-        // Handed over more than the fleet gives: step down before the first late notes tell, as far as own ones
-        // outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
+        // Handed over more than the fleet gives: step down before the first late notes tell, as far as own
+        // ones outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
         let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
         let full = self.appraise(now) * own / (own + self.rules.controllers());
         for at in 0..self.streamers.len() {
