The controller: a driver without I/O around the module, links, HTTP for players, settings

Change: crates/lemontide-front. The driver turns what happens into calls on the module and tells it the truth of every shot: what was never handed to a socket never ran, what was may have.

--- /dev/null
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -0,0 +1,841 @@
+//! The driver: what happens becomes calls on the decision module, and what the module decides becomes effects.
+//! It tells the module the truth of every shot: what was never handed to a socket provably never ran, what was
+//! handed over may have run unless the streamer sent it back.
+
+use super::links::{Link, Queued, Verdict};
+use super::{seconds, Viewers};
+use lemontide::clock::{Point, Span};
+use lemontide::control::{Controller, Handle};
+use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage};
+use lemontide_wire::cmcd::Cmcd;
+use lemontide_wire::cmsd::Dynamic;
+use lemontide_wire::link::{Cancel, How, Look, Order, Ping, SetRung, SetUp, Told, Why};
+use lemontide_wire::list::{self, List};
+use lemontide_wire::play::{Answer, News, Over, Wish};
+use lemontide_wire::tap::{self, Kind, What};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+/// Kept back of a viewer's time, so that the final answer is there before the viewer goes.
+const ANSWER_MARGIN: Span = Span::of_millis(40);
+/// The links are looked after this often.
+const LINK_BEAT: Span = Span::of_millis(100);
+
+/// What the operators state and the driver itself needs; the rest is the module's, in the sheet.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// Name and cut-off of each lane.
+    pub lanes: Vec<(String, Span)>,
+    /// First cell of each title, and how many in a row hold it.
+    pub titles: HashMap<String, (usize, usize)>,
+    /// Rates of the rungs in kB a second, and each lane's scale of them.
+    pub ladder_kb: Vec<f64>,
+    pub lane_scale: Vec<f64>,
+    pub dial_timeout: Span,
+    pub look_timeout: Span,
+    /// Wishes and subscriptions in hand at most.
+    pub held_most: usize,
+}
+
+/// Something that has to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// The final answer of a wish, with the highest bitrate suggested in kbit/s and whether it is short there.
+    Answer {
+        id: u32,
+        answer: Answer,
+        suggested_kbps: Option<u64>,
+        duress: bool,
+    },
+    News {
+        id: u32,
+        news: News,
+    },
+    Dial {
+        at: usize,
+        dial: u64,
+        streamer: String,
+        address: String,
+    },
+    Write {
+        at: usize,
+        dial: u64,
+        orders: Vec<Queued>,
+    },
+    /// Close the connection of that dial.
+    Hang {
+        at: usize,
+        dial: u64,
+    },
+    Tap(What),
+}
+
+/// Why a wish was not taken at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    NoSuchTitle,
+    NoSuchLane,
+    /// As many are in hand as the settings allow, or the controller stops.
+    Closed,
+}
+
+struct Out {
+    number: u32,
+    deadline: Point,
+    not_after: Point,
+    /// Given to the socket: from here on it may have run.
+    handed: bool,
+}
+
+/// A wish or subscription in hand.
+pub struct Held {
+    handle: Handle,
+    pub ask: String,
+    title: String,
+    lane: usize,
+    cut_off: Point,
+    at: usize,
+    pub rung: usize,
+    shots: u32,
+    out: Option<Out>,
+    pub playing: bool,
+    left: bool,
+    last: Option<Ending>,
+}
+
+struct Known {
+    entry: list::Entry,
+    /// Last start as its own welcome told it.
+    welcomed: Option<f64>,
+    link: Link,
+    looking: Option<(u64, Point)>,
+}
+
+pub struct Driver {
+    module: Controller,
+    terms: Terms,
+    known: Vec<Known>,
+    by_name: HashMap<String, usize>,
+    /// Ordered, so that the same events give the same effects.
+    held: BTreeMap<u32, Held>,
+    due: BinaryHeap<Reverse<(Point, u32, u32)>>,
+    wake: Option<Point>,
+    looked_after: Point,
+    viewers: Viewers,
+    chance: StdRng,
+    nonce: u64,
+    stopping: bool,
+    pub effects: Vec<Effect>,
+    /// Counters for the operators: wishes taken, and answers by kind.
+    pub taken: u64,
+    pub answered: [u64; 3],
+}
+
+impl Driver {
+    pub fn start(now: Point, seed: u64, sheet: &Sheet, terms: Terms) -> Driver {
+        Driver {
+            module: Controller::start(now, seed, sheet),
+            terms,
+            known: Vec::new(),
+            by_name: HashMap::new(),
+            held: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            wake: None,
+            looked_after: now,
+            viewers: Viewers::default(),
+            chance: StdRng::seed_from_u64(seed),
+            nonce: 0,
+            stopping: false,
+            effects: Vec::new(),
+            taken: 0,
+            answered: [0; 3],
+        }
+    }
+
+    /// When `tick` wants to be called next.
+    pub fn next(&self) -> Point {
+        let due = self.due.peek().map(|Reverse((at, ..))| *at);
+        let beat = self.looked_after + LINK_BEAT;
+        [due, self.wake].into_iter().flatten().fold(beat, Point::min)
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn playing(&self) -> usize {
+        self.held.values().filter(|held| held.playing).count()
+    }
+
+    pub fn links_up(&self) -> usize {
+        self.known.iter().filter(|known| known.link.is_up()).count()
+    }
+
+    pub fn streamers(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Takes the list, whole: who is missing is gone. What waits for a streamer that drains or is gone is taken
+    /// back at once and placed anew.
+    pub fn learn(&mut self, now: Point, list: &List) {
+        let mut gone: Vec<bool> = vec![true; self.known.len()];
+        for entry in &list.streamers {
+            let at = self.by_name.get(&entry.streamer).copied().unwrap_or(self.known.len());
+            if at == self.known.len() {
+                self.by_name.insert(entry.streamer.clone(), at);
+                let known =
+                    Known { entry: entry.clone(), welcomed: None, link: Link::new(now), looking: None };
+                self.known.push(known);
+                gone.push(false);
+                self.tell(entry.clone());
+                continue;
+            }
+            gone[at] = false;
+            let before = std::mem::replace(&mut self.known[at].entry, entry.clone());
+            if (before.stage, before.started) != (entry.stage, entry.started) {
+                self.tell(entry.clone());
+            }
+            if before.address != entry.address {
+                // The old process is not the one that the list means: its streams are over.
+                self.hang(now, at);
+            }
+        }
+        for at in (0..gone.len()).filter(|at| gone[*at]) {
+            if self.known[at].entry.stage != list::Stage::Gone {
+                self.known[at].entry.stage = list::Stage::Gone;
+                self.tell(self.known[at].entry.clone());
+            }
+        }
+        let lines: Vec<Line> = self.known.iter().map(Known::line).collect();
+        self.module.learn(now, &lines, true);
+        self.carry_out(now);
+        for at in 0..self.known.len() {
+            let stage = self.known[at].entry.stage;
+            self.known[at].link.wanted = stage != list::Stage::Gone;
+            if stage != list::Stage::Ready {
+                let shots = self.known[at].link.withdraw_set_ups();
+                self.end_shots(now, at, shots, Ending::NotSent);
+            }
+        }
+        self.look_after_links(now, Span::ZERO);
+    }
+
+    fn tell(&mut self, entry: list::Entry) {
+        let told = What::Told { streamer: entry.streamer, stage: entry.stage, started: entry.started };
+        self.effects.push(Effect::Tap(told));
+    }
+
+    /// Takes a wish that came at `asked`; exactly one `Answer` with its id follows, unless it is refused here.
+    pub fn ask(
+        &mut self,
+        now: Point,
+        asked: Point,
+        id: u32,
+        wish: &Wish,
+        cmcd: &Cmcd,
+    ) -> Result<(), Refusal> {
+        let Some(lane) = self.terms.lanes.iter().position(|lane| lane.0 == wish.lane) else {
+            return Err(Refusal::NoSuchLane);
+        };
+        let Some((home, copies)) = self.terms.titles.get(&wish.title).copied() else {
+            return Err(Refusal::NoSuchTitle);
+        };
+        if self.stopping || self.held.len() >= self.terms.held_most || self.held.contains_key(&id) {
+            return Err(Refusal::Closed);
+        }
+        let lasts = wish.give_up_in_s.filter(|s| s.is_finite()).map_or(Span::of(1e6), Span::of);
+        let gone_at = asked + lasts.min(self.terms.lanes[lane].1);
+        let known = cmcd.session.as_ref().is_some_and(|session| self.viewers.returns(now, session));
+        let wish_here = lemontide::interface::Wish {
+            id,
+            lane: &wish.lane,
+            tenant: &wish.tenant,
+            title: &wish.title,
+            cut_off: gone_at - ANSWER_MARGIN,
+            home,
+            copies,
+            top: self.top(lane, wish, cmcd),
+            returned: wish.returned || known,
+            length: wish.length_s.filter(|s| s.is_finite()).map(Span::of),
+        };
+        let lane_name = wish.lane.clone();
+        self.effects.push(Effect::Tap(What::Asked {
+            ask: wish.ask.clone(),
+            lane: lane_name,
+            title: wish.title.clone(),
+            cut_off: seconds(gone_at),
+        }));
+        self.taken += 1;
+        let handle = self.module.take(now, &wish_here);
+        let held = Held {
+            handle,
+            ask: wish.ask.clone(),
+            title: wish.title.clone(),
+            lane,
+            cut_off: wish_here.cut_off,
+            at: usize::MAX,
+            rung: 0,
+            shots: 0,
+            out: None,
+            playing: false,
+            left: false,
+            last: None,
+        };
+        self.held.insert(id, held);
+        self.carry_out(now);
+        Ok(())
+    }
+
+    /// The highest rung of use to a viewer: what the wish says, and what the player's hints say of its screen
+    /// and its link.
+    fn top(&self, lane: usize, wish: &Wish, cmcd: &Cmcd) -> usize {
+        let highest = self.terms.ladder_kb.len().saturating_sub(1);
+        let hinted = [cmcd.top_kbps, cmcd.throughput_kbps].into_iter().flatten().min();
+        let within = |kbps: u64| {
+            let fits = |rung: &usize| self.rate_kb(lane, *rung) * 8.0 <= kbps as f64;
+            (0..=highest).take_while(fits).last().unwrap_or(0)
+        };
+        wish.top.unwrap_or(highest).min(highest).min(hinted.map_or(highest, within))
+    }
+
+    fn rate_kb(&self, lane: usize, rung: usize) -> f64 {
+        let kb = self.terms.ladder_kb.get(rung).copied().unwrap_or(0.0);
+        kb * self.terms.lane_scale.get(lane).copied().unwrap_or(1.0)
+    }
+
+    /// The viewer went away, before the answer or after it.
+    pub fn left(&mut self, now: Point, id: u32) {
+        self.end(now, id, Why::Left, Over::Left);
+    }
+
+    /// Ends what is in hand under this id; whether there was something.
+    fn end(&mut self, now: Point, id: u32, why: Why, over: Over) -> bool {
+        let Some(held) = self.held.get_mut(&id).filter(|held| !held.left) else { return false };
+        let (at, handle) = (held.at, held.handle);
+        if held.playing {
+            let shot = held.shots - 1;
+            self.order(now, at, Order::Cancel(Cancel { id, shot, why: why.into() }));
+            handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
+            self.held.remove(&id);
+            self.effects.push(Effect::News { id, news: News::Over { why: over } });
+            self.carry_out(now);
+            return true;
+        }
+        held.left = true;
+        handle.left(&mut self.module);
+        match &held.out {
+            None => {
+                self.held.remove(&id);
+            }
+            Some(out) if !out.handed => {
+                let shot = (id, out.number);
+                self.known[at].link.withdraw(shot);
+                self.end_shots(now, at, vec![shot], Ending::NotSent);
+            }
+            Some(out) => {
+                let shot = out.number;
+                self.order(now, at, Order::Cancel(Cancel { id, shot, why: why.into() }));
+            }
+        }
+        self.carry_out(now);
+        true
+    }
+
+    /// The player ends a subscription that plays; false where there is none.
+    pub fn leave(&mut self, now: Point, id: u32) -> bool {
+        let playing = self.held.get(&id).is_some_and(|held| held.playing);
+        playing && self.end(now, id, Why::Left, Over::Left)
+    }
+
+    /// What a subscription that plays is at now, for a player that starts to listen.
+    pub fn news_of(&self, id: u32) -> Option<News> {
+        let held = self.held.get(&id).filter(|held| held.playing)?;
+        Some(News::Rung { rung: held.rung, rate_kb: self.rate_kb(held.lane, held.rung) })
+    }
+
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// No new wishes from now on.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Ends everything: playing subscriptions are told, waiting wishes get their final answer.
+    pub fn close(&mut self, now: Point) {
+        self.stopping = true;
+        let ids: Vec<u32> = self.held.keys().copied().collect();
+        for id in ids {
+            if let Some(held) = self.held.get(&id).filter(|held| !held.playing && !held.left) {
+                // It may be set up by now or not: nothing is promised of the effect.
+                let answer = Answer::Scrapped { ask: held.ask.clone() };
+                self.answer(id, answer);
+            }
+            self.end(now, id, Why::Left, Over::Stopped);
+        }
+    }
+
+    // What the links report.
+
+    /// A dial came through and the streamer said when it started.
+    pub fn linked(&mut self, now: Point, at: usize, dial: u64, started: f64) {
+        if !self.is_current(at, dial) {
+            return;
+        }
+        let known = &mut self.known[at];
+        known.link.up(now);
+        // A welcome is often earlier news of a restart than the list: the streamer is cold from then on.
+        if started.is_finite() && started > known.welcomed.unwrap_or(0.0) {
+            known.welcomed = Some(started);
+            let line = known.line();
+            self.module.learn(now, &[line], false);
+            self.carry_out(now);
+        }
+        self.pump(now, at);
+    }
+
+    /// A connection or dial is over.
+    pub fn lost(&mut self, now: Point, at: usize, dial: u64) {
+        if !self.is_current(at, dial) {
+            return;
+        }
+        let was_up = self.known[at].link.is_up();
+        let chance = self.chance.random::<f64>();
+        self.known[at].link.down(now, chance);
+        let waiting = self.known[at].link.withdraw_all();
+        if let Some((_, until)) = &mut self.known[at].looking {
+            *until = now;
+        }
+        if was_up {
+            let streamer = self.known[at].entry.streamer.clone();
+            tracing::info!(target: "link", streamer, waiting = waiting.len(), "lost");
+            self.effects.push(Effect::Tap(What::LinkLost { streamer }));
+            let on_it = |held: &Held| {
+                held.at == at && (held.playing || held.out.as_ref().is_some_and(|out| out.handed))
+            };
+            let broken: Vec<_> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
+            for id in broken {
+                self.ended(now, id, Ending::Broken, Load::default());
+            }
+        }
+        self.end_shots(now, at, waiting, Ending::NoConnection);
+        self.carry_out(now);
+    }
+
+    /// The orders of the last batch are written, but for these set-ups, whose time was over: they never ran.
+    pub fn wrote(&mut self, now: Point, at: usize, dial: u64, unsent: Vec<(u32, u32)>) {
+        if !self.is_current(at, dial) {
+            return;
+        }
+        self.known[at].link.wrote();
+        self.end_shots(now, at, unsent, Ending::NotSent);
+        self.carry_out(now);
+        self.pump(now, at);
+    }
+
+    /// A streamer's word.
+    pub fn told(&mut self, now: Point, at: usize, dial: u64, told: Told) {
+        if !self.is_current(at, dial) {
+            return;
+        }
+        self.known[at].link.heard(now);
+        match told {
+            Told::Plays(plays) => {
+                let load = load(&plays.cmsd_dynamic);
+                // An answer to a shot that is no longer waited for: its cancel is under way.
+                let Some(held) = self.waits_for(at, plays.id, plays.shot) else { return };
+                held.out = None;
+                held.playing = true;
+                let (handle, ask, rung, lane) = (held.handle, held.ask.clone(), held.rung, held.lane);
+                self.effects.push(Effect::Tap(What::Heard {
+                    ask: ask.clone(),
+                    shot: plays.shot,
+                    how: tap::How::Served,
+                }));
+                handle.plays(&mut self.module, now);
+                if load.link.is_some() || load.rack.is_some() {
+                    handle.load(&mut self.module, now, load);
+                }
+                if self.held.get(&plays.id).is_some_and(|held| held.left) {
+                    // It played before the cancel came: it is ended like one that plays.
+                    let cancel = Cancel { id: plays.id, shot: plays.shot, why: Why::Left.into() };
+                    self.order(now, at, Order::Cancel(cancel));
+                    self.ended(now, plays.id, Ending::Cancelled, Load::default());
+                } else {
+                    let entry = &self.known[at].entry;
+                    let answer = Answer::Plays {
+                        ask,
+                        subscription: plays.id,
+                        streamer: entry.streamer.clone(),
+                        address: entry.address.clone(),
+                        rung,
+                        rate_kb: self.rate_kb(lane, rung),
+                    };
+                    self.answer(plays.id, answer);
+                }
+            }
+            Told::Ended(ended) => {
+                let (how, ending) = match ended.how() {
+                    How::Served => (tap::How::Served, Ending::Served),
+                    How::SentBack => (tap::How::SentBack, Ending::SentBack),
+                    How::Cancelled => (tap::How::Cancelled, Ending::Cancelled),
+                    How::Errored => (tap::How::Errored, Ending::Errored),
+                    // A newer streamer's word: it may have run.
+                    How::Unspecified => (tap::How::Errored, Ending::Unknown),
+                };
+                let Some(held) = self.held.get(&ended.id).filter(|held| held.at == at) else { return };
+                let out = held.out.as_ref().map(|out| out.number);
+                let current =
+                    if held.playing { held.shots == ended.shot + 1 } else { out == Some(ended.shot) };
+                if !current {
+                    return;
+                }
+                let ask = held.ask.clone();
+                self.effects.push(Effect::Tap(What::Heard { ask, shot: ended.shot, how }));
+                self.ended(now, ended.id, ending, load(&ended.cmsd_dynamic));
+            }
+            Told::Rung(rung) => {
+                if let Some(handle) = self.plays_at(at, rung.id) {
+                    handle.at_rung(&mut self.module, now, rung.rung as usize);
+                }
+            }
+            Told::Short(short) => {
+                if let Some(handle) = self.plays_at(at, short.id).filter(|_| short.share.is_finite()) {
+                    handle.short(&mut self.module, now, short.share.clamp(0.0, 1.0));
+                }
+            }
+            Told::Fullness(fullness) => {
+                if let Some(handle) = self.plays_at(at, fullness.id) {
+                    handle.load(&mut self.module, now, load(&fullness.cmsd_dynamic));
+                }
+            }
+            Told::Looked(looked) => {
+                let known = &mut self.known[at];
+                if known.looking.is_some_and(|(nonce, _)| nonce == looked.nonce) {
+                    known.looking = None;
+                    let name = known.entry.streamer.clone();
+                    self.module.looked(now, &name, true, load(&looked.cmsd_dynamic));
+                }
+            }
+            Told::Welcome(_) | Told::Pong(_) => {}
+        }
+        self.carry_out(now);
+    }
+
+    /// Regular work, when `next` says so.
+    pub fn tick(&mut self, now: Point) {
+        if now - self.looked_after >= LINK_BEAT {
+            self.look_after_links(now, now - self.looked_after);
+            self.looked_after = now;
+        }
+        while let Some(Reverse((at, id, shot))) = self.due.peek().copied().filter(|r| r.0 .0 <= now) {
+            self.due.pop();
+            debug_assert!(at <= now);
+            self.overdue(now, id, shot);
+        }
+        if self.wake.is_some_and(|wake| wake <= now) {
+            self.wake = None;
+            self.module.wake(now);
+        }
+        self.carry_out(now);
+    }
+
+    /// A shot's moment came: it was not written in time, or not answered in time.
+    fn overdue(&mut self, now: Point, id: u32, shot: u32) {
+        let Some(held) = self.held.get(&id) else { return };
+        let Some(out) = held.out.as_ref().filter(|out| out.number == shot) else { return };
+        let (at, ask) = (held.at, held.ask.clone());
+        if !out.handed {
+            if now >= out.not_after {
+                self.known[at].link.withdraw((id, shot));
+                self.end_shots(now, at, vec![(id, shot)], Ending::NoConnection);
+            }
+        } else if now >= out.deadline {
+            let left = held.left;
+            self.effects.push(Effect::Tap(What::GaveUp { ask, shot }));
+            if !left {
+                self.order(now, at, Order::Cancel(Cancel { id, shot, why: Why::TimedOut.into() }));
+            }
+            self.ended(now, id, Ending::TimedOut, Load::default());
+        }
+    }
+
+    fn look_after_links(&mut self, now: Point, gap: Span) {
+        for at in 0..self.known.len() {
+            let dial = self.known[at].link.dial;
+            match self.known[at].link.look(now, gap) {
+                Verdict::Fine => {}
+                Verdict::Dial => self.dial(now, at),
+                Verdict::Ping => {
+                    self.nonce += 1;
+                    let nonce = self.nonce;
+                    self.order(now, at, Order::Ping(Ping { nonce }));
+                }
+                Verdict::Lost => {
+                    self.effects.push(Effect::Hang { at, dial });
+                    self.lost(now, at, dial);
+                }
+            }
+            let late = self.known[at].looking.is_some_and(|(_, until)| now >= until);
+            if late {
+                self.known[at].looking = None;
+                let name = self.known[at].entry.streamer.clone();
+                self.module.looked(now, &name, false, Load::default());
+            }
+        }
+    }
+
+    fn dial(&mut self, now: Point, at: usize) {
+        let dial = self.known[at].link.start_dial(now, self.terms.dial_timeout);
+        let list::Entry { streamer, address, .. } = self.known[at].entry.clone();
+        self.effects.push(Effect::Dial { at, dial, streamer, address });
+    }
+
+    fn hang(&mut self, now: Point, at: usize) {
+        let dial = self.known[at].link.dial;
+        self.effects.push(Effect::Hang { at, dial });
+        self.lost(now, at, dial);
+    }
+
+    fn is_current(&self, at: usize, dial: u64) -> bool {
+        let link = self.known.get(at).map(|known| &known.link);
+        link.is_some_and(|link| link.dial == dial && (link.is_up() || link.is_dialling()))
+    }
+
+    fn waits_for(&mut self, at: usize, id: u32, shot: u32) -> Option<&mut Held> {
+        let held = self.held.get_mut(&id).filter(|held| held.at == at)?;
+        held.out.as_ref().is_some_and(|out| out.number == shot && out.handed).then_some(held)
+    }
+
+    fn plays_at(&self, at: usize, id: u32) -> Option<Handle> {
+        self.held.get(&id).filter(|held| held.playing && held.at == at).map(|held| held.handle)
+    }
+
+    /// Puts an order that is no set-up on a link; where it can't go, the link's end is the streamer's news.
+    fn order(&mut self, now: Point, at: usize, order: Order) {
+        let Some(known) = self.known.get_mut(at).filter(|known| known.link.is_up()) else { return };
+        if !known.link.push(Queued { order, shot: None, not_after: None }) {
+            // It takes no orders any more: to go on would leave it with streams that it does not know to end.
+            self.hang(now, at);
+        }
+        self.pump(now, at);
+    }
+
+    /// Hands the next orders of a link to the I/O.
+    fn pump(&mut self, now: Point, at: usize) {
+        let Some(known) = self.known.get_mut(at) else { return };
+        let orders = known.link.batch(now);
+        if orders.is_empty() {
+            return;
+        }
+        for (id, number) in orders.iter().filter_map(|order| order.shot) {
+            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
+            if let Some(out) = out.filter(|out| out.number == number) {
+                out.handed = true;
+                self.due.push(Reverse((out.deadline, id, number)));
+            }
+        }
+        let dial = self.known[at].link.dial;
+        self.effects.push(Effect::Write { at, dial, orders });
+    }
+
+    /// These shots never left: they are ended as such, where they are still waited for.
+    fn end_shots(&mut self, now: Point, at: usize, shots: Vec<(u32, u32)>, ending: Ending) {
+        for (id, number) in shots {
+            let held = self.held.get(&id).filter(|held| held.at == at);
+            let out = held.and_then(|held| held.out.as_ref());
+            if out.is_some_and(|out| out.number == number) {
+                self.ended(now, id, ending, Load::default());
+            }
+        }
+    }
+
+    /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
+    fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.out = None;
+        held.last = Some(ending);
+        let (handle, playing, left) = (held.handle, held.playing, held.left);
+        handle.ended(&mut self.module, now, ending, playing, load);
+        if playing || left {
+            self.held.remove(&id);
+        }
+        if playing && !left {
+            let why = if ending == Ending::Served { Over::Served } else { Over::Broken };
+            self.effects.push(Effect::News { id, news: News::Over { why } });
+        }
+    }
+
+    /// Does what the module left to be done, until nothing is left.
+    fn carry_out(&mut self, now: Point) {
+        loop {
+            let mut results = std::mem::take(&mut self.module.results);
+            self.wake = results.wake.or(self.wake);
+            let nothing = results == Default::default();
+            for (id, rung) in results.rungs.drain(..) {
+                self.set_rung(now, id, rung);
+            }
+            for shot in results.shots.drain(..) {
+                self.shoot(now, &shot);
+            }
+            for (id, after) in results.turned_back.drain(..) {
+                let Some(held) = self.held.remove(&id) else { continue };
+                self.explain(now, "turned back", &held);
+                let retry_after_s = after.map(Span::seconds);
+                self.answer(id, Answer::TurnedBack { ask: held.ask, retry_after_s });
+            }
+            for id in results.scrapped.drain(..) {
+                let Some(held) = self.held.remove(&id) else { continue };
+                self.explain(now, "scrapped", &held);
+                self.answer(id, Answer::Scrapped { ask: held.ask });
+            }
+            for id in results.moved.drain(..) {
+                self.end(now, id, Why::Moved, Over::Moved);
+            }
+            for streamer in results.looks.drain(..) {
+                self.look_at(now, &streamer);
+            }
+            if nothing {
+                return;
+            }
+        }
+    }
+
+    /// One line a decision, for who asks for them.
+    fn explain(&self, now: Point, verdict: &str, held: &Held) {
+        tracing::debug!(
+            target: "decision",
+            ask = held.ask,
+            lane = self.terms.lanes[held.lane].0,
+            title = held.title,
+            verdict,
+            shots = held.shots,
+            last_ending = ?held.last,
+            left_s = (held.cut_off - now).seconds(),
+            in_hand = self.held.len(),
+        );
+    }
+
+    fn answer(&mut self, id: u32, answer: Answer) {
+        let (kind, place, ask) = match &answer {
+            Answer::Plays { ask, .. } => (Kind::Plays, 0, ask.clone()),
+            Answer::TurnedBack { ask, .. } => (Kind::TurnedBack, 1, ask.clone()),
+            Answer::Scrapped { ask } => (Kind::Scrapped, 2, ask.clone()),
+            // What was not taken never comes here.
+            Answer::NotTaken { .. } => return,
+        };
+        self.answered[place] += 1;
+        self.effects.push(Effect::Tap(What::Answered { ask, kind }));
+        let suggested_kbps = match &answer {
+            Answer::Plays { rate_kb, .. } => Some((rate_kb * 8.0).round() as u64),
+            _ => None,
+        };
+        let duress = kind != Kind::Plays;
+        self.effects.push(Effect::Answer { id, answer, suggested_kbps, duress });
+    }
+
+    fn set_rung(&mut self, now: Point, id: u32, rung: usize) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.rung = rung;
+        if !held.playing {
+            return;
+        }
+        let (at, lane) = (held.at, held.lane);
+        let rate_kb = self.rate_kb(lane, rung);
+        self.effects.push(Effect::News { id, news: News::Rung { rung, rate_kb } });
+        let order = SetRung { id, rung: rung as u32, rate_kb: rate_kb.round() as u32 };
+        self.order(now, at, Order::SetRung(order));
+    }
+
+    fn shoot(&mut self, now: Point, shot: &Shot) {
+        let id = shot.id;
+        let Some(at) = self.by_name.get(&*shot.streamer).copied() else { return };
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let (number, lane, rung) = (held.shots, held.lane, held.rung);
+        let deadline = now + shot.within;
+        // A decision is of its moment: a set-up that can't leave soon goes back to the module.
+        let not_after = deadline.min(now + self.terms.dial_timeout);
+        held.shots += 1;
+        held.at = at;
+        held.out = Some(Out { number, deadline, not_after, handed: false });
+        let order = Order::SetUp(SetUp {
+            id,
+            shot: number,
+            ask: held.ask.clone(),
+            title: held.title.clone(),
+            lane: self.terms.lanes[lane].0.clone(),
+            rung: rung as u32,
+            rate_kb: self.rate_kb(lane, rung).round() as u32,
+            within_ms: (shot.within.seconds() * 1e3).max(0.0) as u32,
+        });
+        if let Some(held) = self.held.get(&id) {
+            self.explain(now, "shot", held);
+        }
+        if shot.within <= Span::ZERO || self.known[at].entry.stage != list::Stage::Ready {
+            return self.end_shots(now, at, vec![(id, number)], Ending::NotSent);
+        }
+        if self.known[at].link.may_dial(now) {
+            self.dial(now, at);
+        }
+        let link = &mut self.known[at].link;
+        if !link.is_up() && !link.is_dialling() {
+            return self.end_shots(now, at, vec![(id, number)], Ending::NoConnection);
+        }
+        if !link.push(Queued { order, shot: Some((id, number)), not_after: Some(not_after) }) {
+            return self.end_shots(now, at, vec![(id, number)], Ending::NotSent);
+        }
+        self.due.push(Reverse((not_after, id, number)));
+        self.pump(now, at);
+    }
+
+    /// Looks at a streamer, once for all who wait for it.
+    fn look_at(&mut self, now: Point, streamer: &str) {
+        let Some(at) = self.by_name.get(streamer).copied() else { return };
+        if self.known[at].looking.is_some() {
+            return;
+        }
+        if self.known[at].link.may_dial(now) {
+            self.dial(now, at);
+        }
+        self.nonce += 1;
+        let (nonce, until) = (self.nonce, now + self.terms.look_timeout);
+        self.known[at].looking = Some((nonce, until));
+        let order = Queued { order: Order::Look(Look { nonce }), shot: None, not_after: Some(until) };
+        let link = &mut self.known[at].link;
+        let possible = link.is_up() || link.is_dialling();
+        if !possible || !link.push(order) {
+            // Told at the next look at the links: a look never fails within the call that asked for it.
+            self.known[at].looking = Some((nonce, now));
+        }
+        self.pump(now, at);
+    }
+}
+
+impl Known {
+    fn line(&self) -> Line {
+        let started = self.entry.started.unwrap_or(0.0).max(self.welcomed.unwrap_or(0.0));
+        Line {
+            streamer: self.entry.streamer.clone(),
+            zone: self.entry.zone.clone(),
+            kind: self.entry.kind.clone(),
+            cell: self.entry.cell,
+            stage: match self.entry.stage {
+                list::Stage::Ready => Stage::Ready,
+                list::Stage::Draining => Stage::Draining,
+                list::Stage::Gone => Stage::Gone,
+            },
+            weight: self.entry.weight,
+            started: (started > 0.0).then(|| Point::at(started)),
+        }
+    }
+}
+
+/// The load report in a CMSD-Dynamic value; nothing where there is none or it is not valid.
+fn load(cmsd_dynamic: &str) -> Load {
+    let Some(dynamic) = Dynamic::read(cmsd_dynamic) else { return Load::default() };
+    let sane = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
+    Load { streams: sane(dynamic.streams), link: sane(dynamic.link), rack: sane(dynamic.rack) }
+}
--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -33,9 +33,17 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     /// Not connected; dialled again at that moment.
-    Down { redial: Point },
-    Dialling { until: Point },
-    Up { heard: Point, pinged: Point, writing: Option<Point> },
+    Down {
+        redial: Point,
+    },
+    Dialling {
+        until: Point,
+    },
+    Up {
+        heard: Point,
+        pinged: Point,
+        writing: Option<Point>,
+    },
 }
 
 /// What a look at the clock found.
@@ -109,13 +117,13 @@
         }
     }
 
-    /// Puts an order in the queue; given back where there is no room.
-    pub fn push(&mut self, order: Queued) -> Result<(), Queued> {
-        if self.queue.len() >= QUEUE_MOST {
-            return Err(order);
+    /// Puts an order in the queue; false where there is no room.
+    pub fn push(&mut self, order: Queued) -> bool {
+        let room = self.queue.len() < QUEUE_MOST;
+        if room {
+            self.queue.push_back(order);
         }
-        self.queue.push_back(order);
-        Ok(())
+        room
     }
 
     /// The next orders to write, once the last ones are written.
@@ -224,9 +232,9 @@
     #[test]
     fn an_end_that_never_reads_is_lost_though_it_talks() {
         let mut link = up();
-        link.push(set_up(1)).expect("there is room");
+        assert!(link.push(set_up(1)));
         assert_eq!(link.batch(at(0.0)).len(), 1);
-        link.push(set_up(2)).expect("there is room");
+        assert!(link.push(set_up(2)));
         for tenth in 1..30 {
             link.heard(at(f64::from(tenth) / 10.0));
             assert!(link.batch(at(f64::from(tenth) / 10.0)).is_empty());
@@ -239,8 +247,8 @@
     fn the_queue_is_bounded_and_set_ups_can_be_taken_out() {
         let mut link = up();
         let ping = Queued { order: Order::Ping(Ping { nonce: 1 }), shot: None, not_after: None };
-        link.push(ping).expect("there is room");
-        let pushed = (0..2000).take_while(|id| link.push(set_up(*id)).is_ok()).count();
+        assert!(link.push(ping));
+        let pushed = (0..2000).take_while(|id| link.push(set_up(*id))).count();
         assert_eq!(pushed, QUEUE_MOST - 1);
         assert_eq!(link.withdraw_set_ups().len(), QUEUE_MOST - 1);
         assert_eq!(link.batch(at(0.0)).len(), 1);
--- a/crates/lemontide-front/src/core/mod.rs
+++ b/crates/lemontide-front/src/core/mod.rs
@@ -5,7 +5,7 @@
 mod links;
 mod viewers;
 
-pub use driver::{Driver, Effect, Held, Terms};
+pub use driver::{Driver, Effect, Held, Refusal, Terms};
 pub use links::{Link, Queued, Verdict};
 pub use viewers::Viewers;
 
--- /dev/null
+++ b/crates/lemontide-front/src/front.rs
@@ -0,0 +1,353 @@
+//! Ties the controller together: one thread decides, the runtime's tasks do the I/O. All that happens comes to
+//! the deciding thread over two bounded queues, and what it decides goes out as effects.
+
+use crate::core::{seconds, Driver, Effect, Queued, Refusal};
+use crate::http;
+use crate::link::{self, Dial, Links};
+use crate::list::{ListFile, Source};
+use crate::settings::Settings;
+use lemontide::clock::Point;
+use lemontide_wire::clock::Clock;
+use lemontide_wire::cmcd::Cmcd;
+use lemontide_wire::link::Told;
+use lemontide_wire::list::List;
+use lemontide_wire::play::{Answer, News, Wish};
+use lemontide_wire::tap::{Tap, What};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::timeout_at;
+
+/// Events that wait for the deciding thread: of what is in hand, and of new wishes.
+const REPORTS_MOST: usize = 8192;
+const WISHES_MOST: usize = 4096;
+/// Events taken between two looks at the timers, and new wishes among them.
+const ROUND: usize = 1024;
+const WISHES_A_ROUND: usize = 64;
+/// Lines of news that wait for a listener before it is cut off.
+const NEWS_MOST: usize = 64;
+
+/// The answer of a wish on its way to the player.
+#[derive(Debug)]
+pub struct Said {
+    pub answer: Answer,
+    pub suggested_kbps: Option<u64>,
+    pub duress: bool,
+}
+
+/// A wish that a player made, read at `asked` seconds.
+pub struct Asked {
+    pub id: u32,
+    pub asked: f64,
+    pub wish: Wish,
+    pub cmcd: Cmcd,
+    pub reply: oneshot::Sender<Result<Said, Refusal>>,
+}
+
+/// What happens to what is in hand, and to the fleet.
+pub enum Happened {
+    Linked {
+        at: usize,
+        dial: u64,
+        started: f64,
+    },
+    Lost {
+        at: usize,
+        dial: u64,
+    },
+    Wrote {
+        at: usize,
+        dial: u64,
+        unsent: Vec<(u32, u32)>,
+    },
+    Told {
+        at: usize,
+        dial: u64,
+        told: Told,
+    },
+    List(List),
+    /// The player of a wish is gone.
+    Left {
+        id: u32,
+    },
+    /// A player ends a subscription; whether there was one.
+    Leave {
+        id: u32,
+        done: oneshot::Sender<bool>,
+    },
+    Listen {
+        id: u32,
+        news: oneshot::Sender<Option<mpsc::Receiver<News>>>,
+    },
+    State(oneshot::Sender<State>),
+}
+
+/// The controller in figures.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    pub taken: u64,
+    pub plays: u64,
+    pub turned_back: u64,
+    pub scrapped: u64,
+    pub in_hand: usize,
+    pub playing: usize,
+    pub streamers: usize,
+    pub links_up: usize,
+    pub stopping: bool,
+    /// Seconds of CPU that the deciding thread spent in the driver and the module.
+    pub deciding_s: f64,
+}
+
+/// A running controller.
+pub struct Front {
+    /// Where it serves players.
+    pub address: SocketAddr,
+    stop: watch::Sender<bool>,
+    decides: std::thread::JoinHandle<()>,
+}
+
+impl Front {
+    /// Starts all of it on the runtime that this is called on. Errors: the address is taken, the tap can't be
+    /// written, or no thread is to be had.
+    pub async fn start(settings: Settings) -> io::Result<Front> {
+        let clock = Clock::start();
+        let tap = match &settings.tap {
+            Some(path) => Tap::to(path, clock, &format!("controller:{}", settings.me))?,
+            None => Tap::none(clock),
+        };
+        tap.write(What::Up { controller: settings.me });
+        let listener = tokio::net::TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let (reports, reported) = mpsc::channel(REPORTS_MOST);
+        let (wishes, wished) = mpsc::channel(WISHES_MOST);
+        let (stop, stopped) = watch::channel(false);
+        let mut source = ListFile::new(settings.list.clone());
+        let lists = reports.clone();
+        tokio::spawn(async move {
+            loop {
+                let list = source.next().await;
+                if lists.send(Happened::List(list)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let seed = settings.seed.unwrap_or_else(rand::random);
+        let links = Links {
+            clock,
+            tap: tap.clone(),
+            me: settings.me as u32,
+            run: rand::random(),
+            dial_timeout: Duration::from_secs_f64(settings.links.dial_timeout_s),
+            reports: reports.clone(),
+        };
+        http::serve(listener, &settings, clock, wishes, reports, stopped.clone());
+        let runtime = Handle::current();
+        let stop_within = settings.limits.stop_s;
+        let decides = std::thread::Builder::new().name("decides".into()).spawn(move || {
+            let Ok(own) = tokio::runtime::Builder::new_current_thread().enable_time().build() else {
+                return tracing::error!("no timers for the deciding thread");
+            };
+            let driver = Driver::start(Point::at(clock.now()), seed, &settings.sheet(), settings.terms());
+            let mut decider = Decider {
+                driver,
+                links,
+                runtime,
+                replies: HashMap::new(),
+                listeners: HashMap::new(),
+                wires: HashMap::new(),
+                spent: Duration::ZERO,
+            };
+            own.block_on(decider.run(reported, wished, stopped, stop_within));
+        })?;
+        Ok(Front { address, stop, decides })
+    }
+
+    /// Takes no new wishes, lets subscriptions end by themselves for the time that the settings give, ends the
+    /// rest and returns. Blocks.
+    pub fn stop(self) {
+        let _ = self.stop.send(true);
+        let _ = self.decides.join();
+    }
+}
+
+struct Decider {
+    driver: Driver,
+    links: Links,
+    runtime: Handle,
+    replies: HashMap<u32, oneshot::Sender<Result<Said, Refusal>>>,
+    listeners: HashMap<u32, mpsc::Sender<News>>,
+    wires: HashMap<usize, (mpsc::Sender<Vec<Queued>>, AbortHandle)>,
+    spent: Duration,
+}
+
+impl Decider {
+    async fn run(
+        &mut self,
+        mut reported: mpsc::Receiver<Happened>,
+        mut wished: mpsc::Receiver<Asked>,
+        mut stopped: watch::Receiver<bool>,
+        stop_within: f64,
+    ) {
+        let mut closes_at = None;
+        loop {
+            let next = self.links.clock.instant(seconds(self.driver.next()));
+            let mut round = Vec::new();
+            let mut asked = Vec::new();
+            let _ = timeout_at(next.into(), async {
+                tokio::select! {
+                    biased;
+                    _ = stopped.changed(), if closes_at.is_none() => {}
+                    n = reported.recv_many(&mut round, ROUND) => { let _ = n; }
+                    n = wished.recv_many(&mut asked, WISHES_A_ROUND) => { let _ = n; }
+                }
+            })
+            .await;
+            let began = std::time::Instant::now();
+            // What concerns subscriptions in hand goes before new wishes.
+            while round.len() < ROUND {
+                let Ok(happened) = reported.try_recv() else { break };
+                round.push(happened);
+            }
+            for happened in round {
+                self.happened(happened);
+                self.perform();
+            }
+            for wish in asked {
+                self.asked(wish);
+                self.perform();
+            }
+            self.driver.tick(self.now());
+            self.perform();
+            self.spent += began.elapsed();
+            if *stopped.borrow() {
+                let now = self.links.clock.now();
+                let closes_at = *closes_at.get_or_insert(now + stop_within);
+                self.driver.stop();
+                if self.driver.in_hand() == 0 || now >= closes_at {
+                    break;
+                }
+            }
+        }
+        self.driver.close(self.now());
+        self.perform();
+        // What was ordered last, and the last answers, get a moment to leave.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for (_, (_, wire)) in self.wires.drain() {
+            wire.abort();
+        }
+    }
+
+    fn now(&self) -> Point {
+        Point::at(self.links.clock.now())
+    }
+
+    fn asked(&mut self, wish: Asked) {
+        let Asked { id, asked, wish, cmcd, reply } = wish;
+        // The player may be gone before its wish was looked at: then nothing is set up.
+        if reply.is_closed() {
+            return;
+        }
+        self.replies.insert(id, reply);
+        if let Err(refusal) = self.driver.ask(self.now(), Point::at(asked), id, &wish, &cmcd) {
+            if let Some(reply) = self.replies.remove(&id) {
+                let _ = reply.send(Err(refusal));
+            }
+        }
+    }
+
+    fn happened(&mut self, happened: Happened) {
+        let now = self.now();
+        match happened {
+            Happened::Linked { at, dial, started } => self.driver.linked(now, at, dial, started),
+            Happened::Lost { at, dial } => self.driver.lost(now, at, dial),
+            Happened::Wrote { at, dial, unsent } => self.driver.wrote(now, at, dial, unsent),
+            Happened::Told { at, dial, told } => self.driver.told(now, at, dial, told),
+            Happened::List(list) => {
+                tracing::info!(target: "list", version = list.version, streamers = list.streamers.len(), "read");
+                self.driver.learn(now, &list);
+            }
+            Happened::Left { id } => {
+                self.replies.remove(&id);
+                self.driver.left(now, id);
+            }
+            Happened::Leave { id, done } => {
+                let _ = done.send(self.driver.leave(now, id));
+            }
+            Happened::Listen { id, news } => {
+                let listens = self.driver.news_of(id).map(|first| {
+                    let (tell, hear) = mpsc::channel(NEWS_MOST);
+                    let _ = tell.try_send(first);
+                    self.listeners.insert(id, tell);
+                    hear
+                });
+                let _ = news.send(listens);
+            }
+            Happened::State(reply) => {
+                let [plays, turned_back, scrapped] = self.driver.answered;
+                let _ = reply.send(State {
+                    taken: self.driver.taken,
+                    plays,
+                    turned_back,
+                    scrapped,
+                    in_hand: self.driver.in_hand(),
+                    playing: self.driver.playing(),
+                    streamers: self.driver.streamers(),
+                    links_up: self.driver.links_up(),
+                    stopping: self.driver.stopping(),
+                    deciding_s: self.spent.as_secs_f64(),
+                });
+            }
+        }
+    }
+
+    /// Does what the driver wants done, until nothing is left: a player found gone may free more.
+    fn perform(&mut self) {
+        while !self.driver.effects.is_empty() {
+            for effect in std::mem::take(&mut self.driver.effects) {
+                match effect {
+                    Effect::Tap(what) => self.links.tap.write(what),
+                    Effect::Answer { id, answer, suggested_kbps, duress } => {
+                        let Some(reply) = self.replies.remove(&id) else { continue };
+                        if reply.send(Ok(Said { answer, suggested_kbps, duress })).is_err() {
+                            // Gone without a word: what was set up for it is ended.
+                            self.driver.left(self.now(), id);
+                        }
+                    }
+                    Effect::News { id, news } => {
+                        let over = matches!(news, News::Over { .. });
+                        let slow = self.listeners.get(&id).is_some_and(|tell| tell.try_send(news).is_err());
+                        // A listener that does not read loses its news, nothing else.
+                        if over || slow {
+                            self.listeners.remove(&id);
+                        }
+                    }
+                    Effect::Dial { at, dial, streamer, address } => {
+                        let (orders, ordered) = mpsc::channel(2);
+                        let to = Dial { at, dial, streamer, address };
+                        let task = self.runtime.spawn(link::run(self.links.clone(), to, ordered));
+                        if let Some((_, old)) = self.wires.insert(at, (orders, task.abort_handle())) {
+                            old.abort();
+                        }
+                    }
+                    Effect::Write { at, dial, orders } => {
+                        let wire = self.wires.get(&at);
+                        if wire.is_none_or(|(wire, _)| wire.try_send(orders).is_err()) {
+                            // The task is gone; its own report may still be on the way.
+                            self.driver.lost(self.now(), at, dial);
+                        }
+                    }
+                    Effect::Hang { at, .. } => {
+                        if let Some((_, wire)) = self.wires.remove(&at) {
+                            wire.abort();
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/lemontide-wire/src/play.rs
+++ b/crates/lemontide-wire/src/play.rs
@@ -49,6 +49,8 @@
     TurnedBack { ask: String, retry_after_s: Option<f64> },
     /// 502: it may have been set up, or may yet be.
     Scrapped { ask: String },
+    /// 400, 404 or 503: the wish was not taken at all, and why.
+    NotTaken { error: String, retry_after_s: Option<f64> },
 }
 
 /// One line of `GET /v1/subscriptions/{id}/news`: what happens to a subscription that plays.
