--- /dev/null
+++ b/crates/lemontide-standin/src/day.rs
@@ -0,0 +1,341 @@
+//! A day as it is written down: the fleet as it really is, what controllers are told of it, the viewers, and
+//! the troubles. JSON with a schema; lengths in seconds, rates in kB a second.
+
+use lemontide_front::settings::{
+    read_json, Charges, Cold, Fleet, Ladder, Lane, Limits, Links, Looks, Notes, Place, Ration, Repeat,
+    RetryAfter, Settings, Shots, Tenant, Wrong,
+};
+use lemontide_wire::tap::{self, LaneTerms, Terms};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Day {
+    pub name: String,
+    /// Where it comes from and what was scaled; for people.
+    #[serde(default)]
+    pub about: String,
+    pub seed: u64,
+    /// Viewers come for so long; the day goes on until the last of them is through.
+    pub length_s: f64,
+    pub zones: Vec<String>,
+    /// The zone of each controller. Each runs as a process of its own.
+    pub controllers: Vec<String>,
+    pub streamers: Vec<Streamer>,
+    /// What the uplink of each rack really carries.
+    pub uplinks_kb: Vec<f64>,
+    /// Streams of a streamer at most, and what controllers are told of links.
+    pub kind: String,
+    pub places: f64,
+    pub kb_per_weight: f64,
+    pub cells: usize,
+    pub titles: BTreeMap<String, Title>,
+    pub lanes: Vec<DayLane>,
+    #[serde(default)]
+    pub tenants: Vec<DayTenant>,
+    #[serde(default)]
+    pub over_share_gain: f64,
+    pub ladder: Ladder,
+    /// Points of gain lost for each point of the rate that is missing under 98 in 100.
+    pub shortfall_cost: f64,
+    pub viewers: Viewers,
+    pub reports: Reports,
+    pub news: News,
+    pub shots: Shots,
+    pub retry_after: RetryAfter,
+    #[serde(default)]
+    pub looks: Looks,
+    #[serde(default)]
+    pub charges: Charges,
+    pub cold: Cold,
+    #[serde(default)]
+    pub ration: Option<Ration>,
+    pub links: Links,
+    pub rules: Rules,
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Streamer {
+    pub name: String,
+    pub zone: String,
+    pub cell: usize,
+    pub weight: f64,
+    /// What its link really carries.
+    pub link_kb: f64,
+    /// Not there at the start: a spare that a removal brings in.
+    #[serde(default)]
+    pub spare: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Title {
+    pub home: usize,
+    pub copies: usize,
+    /// Part of the viewers who want it, next to the others' parts.
+    pub share: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct DayLane {
+    #[serde(flatten)]
+    pub lane: Lane,
+    /// Part of the viewers.
+    pub share: f64,
+    /// Shortest and longest time that a viewer watches.
+    pub watched_s: (f64, f64),
+    /// Mean work of a set-up at a warm streamer.
+    pub set_up_s: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DayTenant {
+    pub name: String,
+    pub quota_per_s: f64,
+    /// Part of the viewers.
+    pub share: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Viewers {
+    /// New viewers a second.
+    pub per_s: f64,
+    /// Part that comes again after a break or a turn-back, and after how long.
+    pub returns: f64,
+    pub rejoin_s: f64,
+    /// Part that can't use the two upper rungs.
+    #[serde(default)]
+    pub small_screens: f64,
+    /// Part that leaves before the answer.
+    #[serde(default)]
+    pub impatient: f64,
+    /// Part that stops watching half way.
+    #[serde(default)]
+    pub leave_early: f64,
+    /// How far viewers lean to some controllers: 0 evenly, 1 very much.
+    #[serde(default)]
+    pub lean: f64,
+    /// How long viewers go on coming to a dead controller.
+    #[serde(default)]
+    pub notice_s: f64,
+}
+
+/// How late and noisy streamers' reports are.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Reports {
+    pub age_s: f64,
+    pub every_s: f64,
+    #[serde(default)]
+    pub noise: f64,
+    /// Which parts of the load are reported.
+    #[serde(default)]
+    pub streams: bool,
+    #[serde(default)]
+    pub rack: bool,
+}
+
+/// How late the list of streamers knows.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct News {
+    /// Of a process that ended or drains, of one that went silent, of one that started.
+    pub ended_s: f64,
+    pub silent_s: f64,
+    pub started_s: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Rules {
+    pub answer_slack_s: f64,
+    pub drain_grace_s: f64,
+}
+
+/// Something that goes wrong, from `at_s` on.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Trouble {
+    pub at_s: f64,
+    pub for_s: f64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// Numbers under `on` are places in the day's list of streamers, or of controllers where it says so.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum What {
+    /// Set-ups fail at once, with this chance.
+    QuickErrors { on: Vec<usize>, share: f64 },
+    /// Takes work and answers nothing; streams get nothing.
+    Hang { on: Vec<usize> },
+    /// Falls silent with no reset, and comes back cold.
+    Vanish { on: Vec<usize> },
+    /// The link gives so many times less.
+    SlowLink { on: Vec<usize>, times: f64 },
+    /// Uplinks of racks give so many times less.
+    WeakUplink { racks: Vec<usize>, times: f64 },
+    /// Notes and reports come later than usual.
+    LateReports { by_s: f64 },
+    /// The work is done, the answer is lost: in silence, or with a reset of the link.
+    AnswersLost { on: Vec<usize>, share: f64, reset: bool },
+    /// Drains at the start, is dead after the notice; spares start so much later.
+    Removal { on: Vec<usize>, notice_s: f64, spares: Vec<usize>, spares_after_s: f64 },
+    /// Slows down, then dies and comes back cold.
+    Ageing { on: Vec<usize> },
+    /// Accepts, talks, and never reads.
+    Deaf { on: Vec<usize> },
+    /// This part of new viewers wants these titles.
+    Crowd { titles: Vec<String>, share: f64 },
+    /// Controllers are killed and started again after a while, one after the other over `for_s`.
+    KillControllers { on: Vec<usize>, down_s: f64 },
+    /// Controllers stand still for `for_s`.
+    PauseControllers { on: Vec<usize> },
+}
+
+impl Day {
+    /// Reads and checks a day; an error names file, path and remedy.
+    pub fn read(file: &Path) -> Result<Day, Wrong> {
+        let day: Day = read_json(file)?;
+        let wrong = |(path, what)| Wrong { file: file.to_owned(), path, what };
+        day.check().map_err(wrong)?;
+        day.settings(0, Path::new("list.json"), None, 0).check().map_err(wrong)?;
+        Ok(day)
+    }
+
+    /// How the values must fit each other, beyond what settings of a controller ask for.
+    pub fn check(&self) -> Result<(), (String, String)> {
+        let wrong = |path: String, what: &str| Err((path, what.to_owned()));
+        if !(self.length_s > 0.0 && self.length_s <= 600.0) {
+            return wrong("length_s".into(), "a day lasts over 0 and up to 600 s");
+        }
+        if self.controllers.is_empty() || self.controllers.len() > 64 {
+            return wrong(
+                "controllers".into(),
+                "name the zones of 1 to 64 controllers: each is a process here",
+            );
+        }
+        if self.streamers.is_empty() || self.uplinks_kb.is_empty() || self.titles.is_empty() {
+            return wrong("streamers".into(), "a day needs streamers, uplinks and titles");
+        }
+        if let Some(i) = self.controllers.iter().position(|zone| !self.zones.contains(zone)) {
+            return wrong(format!("controllers[{i}]"), "its zone is none of `zones`");
+        }
+        for (i, streamer) in self.streamers.iter().enumerate() {
+            if streamer.cell >= self.cells || !self.zones.contains(&streamer.zone) {
+                return wrong(
+                    format!("streamers[{i}]"),
+                    "its cell must be under `cells`, its zone one of `zones`",
+                );
+            }
+            if self.streamers[..i].iter().any(|other| other.name == streamer.name) {
+                return wrong(format!("streamers[{i}].name"), "another streamer has this name");
+            }
+        }
+        for (i, trouble) in self.troubles.iter().enumerate() {
+            let count = self.streamers.len();
+            let (on, most) = match &trouble.what {
+                What::QuickErrors { on, .. }
+                | What::Hang { on }
+                | What::Vanish { on }
+                | What::SlowLink { on, .. }
+                | What::AnswersLost { on, .. }
+                | What::Removal { on, .. }
+                | What::Ageing { on }
+                | What::Deaf { on } => (on, count),
+                What::WeakUplink { racks, .. } => (racks, self.uplinks_kb.len()),
+                What::KillControllers { on, .. } | What::PauseControllers { on } => {
+                    (on, self.controllers.len())
+                }
+                What::LateReports { .. } | What::Crowd { .. } => continue,
+            };
+            if on.iter().any(|number| *number >= most) {
+                return wrong(format!("troubles[{i}].on"), "a number is past the end of what it counts");
+            }
+        }
+        Ok(())
+    }
+
+    /// The settings of one of its controllers.
+    pub fn settings(&self, me: usize, list: &Path, tap: Option<PathBuf>, seed: u64) -> Settings {
+        let place = |title: &Title| Place { home: title.home, copies: title.copies };
+        Settings {
+            listen: ([127, 0, 0, 1], 0).into(),
+            me,
+            controllers: self.controllers.len(),
+            seed: Some(seed),
+            zone: self.controllers[me].clone(),
+            list: list.to_owned(),
+            titles: self.titles.iter().map(|(name, title)| (name.clone(), place(title))).collect(),
+            lanes: self.lanes.iter().map(|lane| lane.lane.clone()).collect(),
+            tenants: self
+                .tenants
+                .iter()
+                .map(|tenant| Tenant { name: tenant.name.clone(), quota_per_s: tenant.quota_per_s })
+                .collect(),
+            over_share_gain: self.over_share_gain,
+            ladder: self.ladder.clone(),
+            fleet: Fleet {
+                cells: self.cells,
+                racks: self.uplinks_kb.len(),
+                rack_kb: self.uplinks_kb.iter().sum::<f64>() / self.uplinks_kb.len().max(1) as f64,
+                kb_per_weight: self.kb_per_weight,
+                kinds: vec![lemontide_front::settings::MachineKind {
+                    name: self.kind.clone(),
+                    streams: self.places,
+                }],
+            },
+            notes: Notes { age_s: self.reports.age_s, every_s: self.reports.every_s },
+            shots: self.shots.clone(),
+            retry_after: self.retry_after.clone(),
+            looks: self.looks.clone(),
+            charges: self.charges.clone(),
+            cold: self.cold.clone(),
+            ration: self.ration.clone(),
+            links: self.links.clone(),
+            limits: Limits { stop_s: 1.0, ..Limits::default() },
+            tap,
+        }
+    }
+
+    /// The rules in figures, as the judge takes them.
+    pub fn terms(&self) -> Terms {
+        Terms {
+            answer_slack: self.rules.answer_slack_s,
+            drain_grace: self.rules.drain_grace_s,
+            cold: tap::Cold {
+                places: self.places,
+                span: self.cold.span_s,
+                from: self.cold.from,
+                multiple: self.cold.multiple,
+                window: self.cold.window_s,
+            },
+            ration: self.ration.as_ref().map(|r| tap::Ration {
+                floor: r.floor,
+                share: r.share,
+                window: r.window_s,
+            }),
+            lanes: self
+                .lanes
+                .iter()
+                .map(|lane| LaneTerms {
+                    name: lane.lane.name.clone(),
+                    gain: lane.lane.gain,
+                    paid: lane.lane.repeat == Repeat::Paid,
+                    floor: lane.lane.floor,
+                    seats: lane.lane.seats,
+                })
+                .collect(),
+            gain: self.ladder.gain.clone(),
+            shortfall_cost: self.shortfall_cost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemontide-standin/src/judge.rs
@@ -0,0 +1,618 @@
+//! The judge: reads taps and nothing else, and says of each of the six rules whether it was kept, with the
+//! lines that break it. It knows nothing of the controller; what a controller wrote of itself is held against
+//! what the other end of the socket saw.
+
+use lemontide_wire::list::Stage;
+use lemontide_wire::tap::{How, Kind, LaneTerms, Line, Terms, What};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Lines that the ends wrote at one moment may lie this far apart, in seconds.
+const NEAR: f64 = 0.05;
+/// Breaches of a rule that are spelled out.
+const SHOWN: usize = 5;
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Breach {
+    pub what: String,
+    /// The lines that show it.
+    pub lines: Vec<String>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Rule {
+    pub name: &'static str,
+    /// How many things were held against it.
+    pub checked: usize,
+    pub broken: usize,
+    /// The first breaches.
+    pub breaches: Vec<Breach>,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Answers {
+    pub asks: usize,
+    /// Taken by a controller that went on running, by number of answers.
+    pub none: usize,
+    pub one: usize,
+    pub two: usize,
+    /// Asks that no running controller owed an answer: it was killed or stood still, or the viewer left.
+    pub excused: usize,
+    pub plays: usize,
+    pub turned_back: usize,
+    pub scrapped: usize,
+    pub in_time: usize,
+}
+
+/// Gain that came over gain asked for.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Service {
+    pub whole: f64,
+    pub lanes: BTreeMap<String, f64>,
+    pub worst_ten_s: f64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    pub rules: Vec<Rule>,
+    pub answers: Answers,
+    pub service: Service,
+    /// Set-ups that streamers got, and streamers that fell over.
+    pub set_ups: usize,
+    pub fell: usize,
+}
+
+impl Verdict {
+    pub fn is_clean(&self) -> bool {
+        self.rules.iter().all(|rule| rule.broken == 0) && self.answers.none == 0 && self.answers.two == 0
+    }
+
+    /// The table for people.
+    pub fn table(&self) -> String {
+        let mut text = format!("{:<28} {:>8} {:>7}\n", "rule", "checked", "broken");
+        for rule in &self.rules {
+            text += &format!("{:<28} {:>8} {:>7}\n", rule.name, rule.checked, rule.broken);
+            for breach in &rule.breaches {
+                text += &format!("  {}\n", breach.what);
+                for line in &breach.lines {
+                    text += &format!("    {line}\n");
+                }
+            }
+        }
+        let a = &self.answers;
+        text += &format!(
+            "answers: {} asks; none {}, one {}, two {}; not owed {}; plays {}, turned back {}, scrapped {}; in time {}\n",
+            a.asks, a.none, a.one, a.two, a.excused, a.plays, a.turned_back, a.scrapped, a.in_time
+        );
+        text += &format!(
+            "service (stand-ins): {:.3} whole, {:.3} worst 10 s",
+            self.service.whole, self.service.worst_ten_s
+        );
+        for (lane, service) in &self.service.lanes {
+            text += &format!(", {service:.3} {lane}");
+        }
+        text += &format!("\nset-ups {}, streamers fallen {}\n", self.set_ups, self.fell);
+        text
+    }
+}
+
+struct Book {
+    rule: Rule,
+}
+
+impl Book {
+    fn new(name: &'static str) -> Book {
+        Book { rule: Rule { name, checked: 0, broken: 0, breaches: Vec::new() } }
+    }
+
+    fn holds(&mut self, fine: bool, what: impl FnOnce() -> String, lines: &[&Line]) {
+        self.rule.checked += 1;
+        if fine {
+            return;
+        }
+        self.rule.broken += 1;
+        if self.rule.breaches.len() < SHOWN {
+            let lines = lines.iter().filter_map(|line| serde_json::to_string(line).ok()).collect();
+            self.rule.breaches.push(Breach { what: what(), lines });
+        }
+    }
+}
+
+/// All that the taps say of one ask, in order.
+#[derive(Default)]
+struct Ask<'a> {
+    ask: Option<&'a Line>,
+    answers: Vec<&'a Line>,
+    left: Option<&'a Line>,
+    asked: Vec<&'a Line>,
+    answered: Vec<&'a Line>,
+    sent: Vec<&'a Line>,
+    got: Vec<&'a Line>,
+    /// Heard and given up at the controller's end, done at the streamer's.
+    over: Vec<&'a Line>,
+    done: Vec<&'a Line>,
+    given: Vec<&'a Line>,
+}
+
+/// Judges a day by its taps, in any order. None where the taps state no terms.
+pub fn judge(lines: &[Line]) -> Option<Verdict> {
+    let mut sorted: Vec<&Line> = lines.iter().collect();
+    sorted.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let terms = sorted.iter().find_map(|line| match &line.what {
+        What::Terms { terms } => Some(terms),
+        _ => None,
+    })?;
+    let day = Taps::sort(&sorted, terms);
+    let (lost, answers) = day.none_lost();
+    let rules = vec![
+        lost,
+        day.none_twice(),
+        day.drains_kept(),
+        day.none_pushed_over(),
+        day.terms_kept(),
+        day.rationed(),
+    ];
+    let set_ups = day.asks.values().map(|ask| ask.got.len()).sum();
+    let fell = sorted.iter().filter(|line| matches!(line.what, What::Fell { .. })).count();
+    Some(Verdict { rules, answers, service: day.service(), set_ups, fell })
+}
+
+struct Taps<'a> {
+    terms: &'a Terms,
+    lines: &'a [&'a Line],
+    asks: BTreeMap<&'a str, Ask<'a>>,
+    /// Moments at which each controller was killed and came up, and spans in which it stood still.
+    killed: BTreeMap<usize, Vec<f64>>,
+    up: BTreeMap<usize, Vec<f64>>,
+    paused: BTreeMap<usize, Vec<(f64, f64)>>,
+}
+
+/// The number of the controller that an end's name tells.
+fn controller(end: &str) -> Option<usize> {
+    end.strip_prefix("controller:")?.parse().ok()
+}
+
+impl<'a> Taps<'a> {
+    fn sort(lines: &'a [&'a Line], terms: &'a Terms) -> Taps<'a> {
+        let mut taps = Taps {
+            terms,
+            lines,
+            asks: BTreeMap::new(),
+            killed: BTreeMap::new(),
+            up: BTreeMap::new(),
+            paused: BTreeMap::new(),
+        };
+        for line in lines.iter().copied() {
+            match &line.what {
+                What::Ask { ask, .. } => taps.of(ask).ask = Some(line),
+                What::Answer { ask, .. } => taps.of(ask).answers.push(line),
+                What::Left { ask } => taps.of(ask).left = Some(line),
+                What::Asked { ask, .. } => taps.of(ask).asked.push(line),
+                What::Answered { ask, .. } => taps.of(ask).answered.push(line),
+                What::Sent { ask, .. } => taps.of(ask).sent.push(line),
+                What::Got { ask, .. } => taps.of(ask).got.push(line),
+                What::Heard { ask, .. } | What::GaveUp { ask, .. } => taps.of(ask).over.push(line),
+                What::Done { ask, .. } => taps.of(ask).done.push(line),
+                What::Given { ask, .. } => taps.of(ask).given.push(line),
+                What::Killed { controller } => taps.killed.entry(*controller).or_default().push(line.at),
+                What::Up { controller } => taps.up.entry(*controller).or_default().push(line.at),
+                What::Paused { controller } => {
+                    taps.paused.entry(*controller).or_default().push((line.at, f64::INFINITY));
+                }
+                What::Continued { controller } => {
+                    if let Some(last) = taps.paused.entry(*controller).or_default().last_mut() {
+                        last.1 = line.at;
+                    }
+                }
+                _ => {}
+            }
+        }
+        taps
+    }
+
+    fn of(&mut self, ask: &'a str) -> &mut Ask<'a> {
+        self.asks.entry(ask).or_default()
+    }
+
+    fn lane(&self, name: &str) -> Option<&LaneTerms> {
+        self.terms.lanes.iter().find(|lane| lane.name == name)
+    }
+
+    /// Whether the controller was killed, or stood still, at some moment of this span.
+    fn was_off(&self, controller: usize, from: f64, to: f64) -> bool {
+        let killed = self.killed.get(&controller).into_iter().flatten();
+        let paused = self.paused.get(&controller).into_iter().flatten();
+        killed.clone().any(|at| (from - NEAR..=to + NEAR).contains(at))
+            || paused.clone().any(|(since, until)| *since <= to + NEAR && *until >= from - NEAR)
+    }
+
+    /// 1: every ask that a running controller took has exactly one answer before the viewer's time is up.
+    fn none_lost(&self) -> (Rule, Answers) {
+        let mut book = Book::new("no subscription lost");
+        let mut answers = Answers::default();
+        for (name, ask) in &self.asks {
+            let Some(line) = ask.ask else {
+                // Nobody asked this: an answer to it is one too many.
+                if let Some(answered) = ask.answered.first() {
+                    book.holds(false, || format!("{name}: answered, never asked"), &[answered]);
+                }
+                continue;
+            };
+            let What::Ask { controller, goal, cut_off, .. } = &line.what else { continue };
+            answers.asks += 1;
+            let last = cut_off + self.terms.answer_slack;
+            let said = |kind: Kind| {
+                ask.answers
+                    .iter()
+                    .any(|line| matches!(&line.what, What::Answer { kind: k, .. } if *k == kind))
+            };
+            answers.plays += usize::from(said(Kind::Plays));
+            answers.turned_back += usize::from(said(Kind::TurnedBack));
+            answers.scrapped += usize::from(said(Kind::Scrapped));
+            let real: Vec<&&Line> = ask
+                .answers
+                .iter()
+                .filter(|line| !matches!(&line.what, What::Answer { kind: Kind::None, .. }))
+                .collect();
+            answers.in_time += usize::from(said(Kind::Plays) && real.iter().any(|line| line.at <= *goal));
+            let left_early = ask.left.is_some_and(|left| left.at < *cut_off - NEAR);
+            let off = self.was_off(*controller, line.at, last);
+            // A connection that failed where no controller had taken the ask: nobody owes an answer.
+            let not_taken = ask.asked.is_empty() && real.is_empty() && said(Kind::None);
+            let twice = real.len() > 1 || ask.answered.len() > 1;
+            let in_time = real.first().is_some_and(|line| line.at <= last);
+            if !twice && !in_time && (left_early || off || not_taken) {
+                answers.excused += 1;
+                continue;
+            }
+            match (real.len(), twice) {
+                (_, true) => answers.two += 1,
+                (0, _) => answers.none += 1,
+                _ => answers.one += 1,
+            }
+            let lines: Vec<&Line> = [line]
+                .into_iter()
+                .chain(ask.asked.iter().copied())
+                .chain(ask.answers.iter().copied())
+                .collect();
+            let what = || match (real.len(), twice) {
+                (_, true) => format!("{name}: more than one answer"),
+                (0, _) => format!("{name}: no answer"),
+                _ => format!("{name}: answered after the viewer's time was up"),
+            };
+            book.holds(in_time && !twice, what, &lines);
+        }
+        (book.rule, answers)
+    }
+
+    /// When a shot was over for the controller that sent it, as far as its end says; and whether the streamer
+    /// sent it back unseen.
+    fn over(&self, ask: &Ask<'a>, of: u32, streamer: &str, sent: f64) -> (Option<f64>, bool) {
+        let mut over: Option<f64> = None;
+        let mut back = false;
+        for line in &ask.over {
+            let ends = match &line.what {
+                What::Heard { shot, how, .. } if *shot == of => {
+                    back |= *how == How::SentBack;
+                    // A shot that plays is not over, but it is answered: no other may follow it.
+                    *how != How::Served
+                }
+                What::GaveUp { shot, .. } if *shot == of => true,
+                _ => false,
+            };
+            if ends && line.at >= sent {
+                over = Some(over.map_or(line.at, |at: f64| at.min(line.at)));
+            }
+        }
+        let lost = self.lines.iter().find(|line| {
+            line.at >= sent && matches!(&line.what, What::LinkLost { streamer: s } if s == streamer)
+        });
+        let lost = lost.map(|line| line.at);
+        (over.into_iter().chain(lost).reduce(f64::min), back)
+    }
+
+    /// 2: a paid subscription is sent again or turned back only when each earlier shot provably never ran, and
+    /// no subscription has two shots out at once.
+    fn none_twice(&self) -> Rule {
+        let mut book = Book::new("no set-up twice");
+        for (name, ask) in &self.asks {
+            let mut arrived = BTreeMap::new();
+            for line in &ask.got {
+                let What::Got { streamer, shot, .. } = &line.what else { continue };
+                let before = arrived.insert((streamer, shot), *line);
+                let lines: Vec<&Line> = before.into_iter().chain([*line]).collect();
+                book.holds(
+                    before.is_none(),
+                    || format!("{name}: shot {shot} reached {streamer} twice"),
+                    &lines,
+                );
+                let sent = ask.sent.iter().any(|line| {
+                    matches!(&line.what, What::Sent { streamer: s, shot: n, .. } if s == streamer && n == shot)
+                });
+                book.holds(
+                    sent,
+                    || format!("{name}: shot {shot} reached {streamer}, no one sent it"),
+                    &[line],
+                );
+            }
+            let paid = ask.ask.or(ask.sent.first().copied()).is_some_and(|line| match &line.what {
+                What::Ask { lane, .. } | What::Sent { lane, .. } => {
+                    self.lane(lane).is_none_or(|lane| lane.paid)
+                }
+                _ => false,
+            });
+            for (i, line) in ask.sent.iter().enumerate() {
+                for earlier in &ask.sent[..i] {
+                    let What::Sent { shot, streamer, .. } = &earlier.what else { continue };
+                    let (over, back) = self.over(ask, *shot, streamer, earlier.at);
+                    let fine = over.is_some_and(|over| over <= line.at);
+                    book.holds(
+                        fine,
+                        || format!("{name}: sent again while shot {shot} is out"),
+                        &[earlier, line],
+                    );
+                    if paid {
+                        let what = || format!("{name}: paid, sent again though shot {shot} may have run");
+                        book.holds(back && self.went_back(ask, *shot), what, &[earlier, line]);
+                    }
+                }
+            }
+            let turned_back = ask
+                .answered
+                .iter()
+                .find(|line| matches!(&line.what, What::Answered { kind: Kind::TurnedBack, .. }));
+            if let (true, Some(answer)) = (paid, turned_back) {
+                for line in &ask.sent {
+                    let What::Sent { shot, .. } = &line.what else { continue };
+                    let what = || format!("{name}: paid, turned back though shot {shot} may have run");
+                    book.holds(self.went_back(ask, *shot), what, &[line, answer]);
+                }
+            }
+        }
+        book.rule
+    }
+
+    /// Whether the streamer itself sent the shot back unseen.
+    fn went_back(&self, ask: &Ask<'a>, of: u32) -> bool {
+        ask.done
+            .iter()
+            .any(|line| matches!(&line.what, What::Done { shot, how: How::SentBack, .. } if *shot == of))
+    }
+
+    /// What a controller had been told of a streamer by some moment, of its present run: since when it must
+    /// not be sent to, and the latest start.
+    fn told(&self, of: usize, name: &str, by: f64) -> (Option<&'a Line>, Option<f64>) {
+        let since =
+            self.up.get(&of).into_iter().flatten().filter(|up| **up <= by).fold(0.0, |a: f64, b| a.max(*b));
+        let (mut shut, mut latest) = (None, None::<f64>);
+        for line in self.lines.iter().filter(|line| line.at >= since && line.at <= by) {
+            let What::Told { streamer, stage, started } = &line.what else { continue };
+            if streamer != name || controller(&line.end) != Some(of) {
+                continue;
+            }
+            if *stage == Stage::Ready {
+                shut = None;
+            } else {
+                shut = shut.or(Some(*line));
+            }
+            latest = latest.into_iter().chain(*started).reduce(f64::max);
+        }
+        (shut, latest)
+    }
+
+    /// 3: nothing new to a streamer later than the grace after the controller was told that it drains or is gone.
+    fn drains_kept(&self) -> Rule {
+        let mut book = Book::new("drains kept");
+        let told = self.lines.iter().filter_map(|line| match &line.what {
+            What::Told { streamer, stage, .. } if *stage != Stage::Ready => Some(streamer.as_str()),
+            _ => None,
+        });
+        let ever: BTreeSet<&str> = told.collect();
+        for (name, ask) in &self.asks {
+            for line in &ask.sent {
+                let What::Sent { streamer, .. } = &line.what else { continue };
+                let Some(of) = controller(&line.end) else { continue };
+                let shut =
+                    if ever.contains(streamer.as_str()) { self.told(of, streamer, line.at).0 } else { None };
+                let late = shut.filter(|shut| line.at > shut.at + self.terms.drain_grace);
+                let lines: Vec<&Line> = late.into_iter().chain([*line]).collect();
+                book.holds(
+                    late.is_none(),
+                    || format!("{name}: sent to {streamer}, which drains or is gone"),
+                    &lines,
+                );
+            }
+        }
+        book.rule
+    }
+
+    /// 4: set-ups that a streamer got while it was cold, against what it can take in any window of that length.
+    fn none_pushed_over(&self) -> Rule {
+        let mut book = Book::new("no cold streamer pushed over");
+        let cold = &self.terms.cold;
+        let mut got: BTreeMap<&str, Vec<&Line>> = BTreeMap::new();
+        for line in self.lines {
+            if let What::Got { streamer, .. } = &line.what {
+                got.entry(streamer).or_default().push(line);
+            }
+        }
+        for line in self.lines {
+            let What::Born { streamer, started } = &line.what else { continue };
+            let all = got.get(streamer.as_str()).map_or(&[][..], |got| got);
+            let here: Vec<&&Line> =
+                all.iter().filter(|got| got.at >= *started && got.at < started + cold.span).collect();
+            for (i, last) in here.iter().enumerate() {
+                let window: Vec<&&&Line> =
+                    here[..=i].iter().filter(|got| last.at - got.at <= cold.window).collect();
+                let warmth = cold.from + (1.0 - cold.from) * (last.at - started) / cold.span.max(1e-3);
+                let budget =
+                    cold.multiple * cold.places / cold.span.max(1e-3) * warmth.min(1.0) * cold.window;
+                // Some slack for chance: one set-up.
+                let over = window.len() as f64 > budget + 1.0;
+                let knew = window.iter().filter(|got| self.knew(got, streamer, *started)).count();
+                let blame = over && knew * 2 > window.len();
+                let what = || {
+                    let count = window.len();
+                    format!("{streamer}: {count} set-ups within {} s, {budget:.1} allowed", cold.window)
+                };
+                let lines: Vec<&Line> =
+                    [*line].into_iter().chain(window.iter().map(|got| **got as &Line)).collect();
+                book.holds(!blame, what, &lines);
+            }
+        }
+        book.rule
+    }
+
+    /// Whether the controller that sent this set-up knew of the streamer's start: it was told, it saw the old
+    /// process break, or it came up later itself.
+    fn knew(&self, got: &Line, name: &str, started: f64) -> bool {
+        let What::Got { controller: of, .. } = &got.what else { return false };
+        let told = self.told(*of, name, got.at).1;
+        let up = self.up.get(of).into_iter().flatten().any(|up| *up >= started && *up <= got.at);
+        let witness = self.lines.iter().any(|line| {
+            let lost = matches!(&line.what, What::LinkLost { streamer } if streamer == name);
+            lost && controller(&line.end) == Some(*of) && (started - 60.0..=got.at).contains(&line.at)
+        });
+        up || witness || told.is_some_and(|told| told >= started - NEAR)
+    }
+
+    /// 5: never under a lane's floor, and never more subscriptions of one title and lane than seats.
+    fn terms_kept(&self) -> Rule {
+        let mut book = Book::new("terms kept");
+        let floor = |lane: &str| self.lane(lane).map_or(0, |lane| lane.floor);
+        /// Seats taken and given back, with the line of the set-up.
+        type Seats<'a> = Vec<(f64, i64, &'a Line)>;
+        let mut seats: BTreeMap<(usize, &str, &str), Seats> = BTreeMap::new();
+        for line in self.lines {
+            let (lane, rung) = match &line.what {
+                What::Got { lane, rung, .. } | What::Rung { lane, rung, .. } => (lane, *rung),
+                _ => continue,
+            };
+            book.holds(rung >= floor(lane), || format!("rung {rung} is under the floor of {lane}"), &[line]);
+        }
+        for ask in self.asks.values() {
+            for line in &ask.sent {
+                let What::Sent { shot, streamer, lane, title, .. } = &line.what else { continue };
+                let (Some(of), true) =
+                    (controller(&line.end), self.lane(lane).is_some_and(|lane| lane.seats > 0))
+                else {
+                    continue;
+                };
+                let (over, _) = self.over(ask, *shot, streamer, line.at);
+                let done = ask
+                    .done
+                    .iter()
+                    .find(|line| matches!(&line.what, What::Done { shot: n, .. } if n == shot));
+                let killed = self.killed.get(&of).into_iter().flatten().find(|at| **at >= line.at).copied();
+                let ends = [over, done.map(|done| done.at), killed].into_iter().flatten().reduce(f64::min);
+                let taken = seats.entry((of, lane, title)).or_default();
+                taken.push((line.at, 1, line));
+                taken.push((ends.unwrap_or(f64::INFINITY), -1, line));
+            }
+        }
+        for ((of, lane, title), mut taken) in seats {
+            // At one moment a seat is given back before it is taken.
+            taken.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let most = self.lane(lane).map_or(0, |lane| lane.seats) as i64;
+            let mut held = 0;
+            for (_, change, line) in taken {
+                held += change;
+                let what =
+                    || format!("controller {of} holds {held} of {title} in {lane}, which has {most} seats");
+                if change > 0 {
+                    book.holds(held <= most, what, &[line]);
+                }
+            }
+        }
+        book.rule
+    }
+
+    /// 6: in any window, a controller's shots beyond each subscription's first stay within the ration.
+    fn rationed(&self) -> Rule {
+        let mut book = Book::new("shots rationed");
+        let Some(ration) = &self.terms.ration else { return book.rule };
+        let mut taken: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+        let mut further: BTreeMap<usize, Vec<&Line>> = BTreeMap::new();
+        for line in self.lines {
+            let Some(of) = controller(&line.end) else { continue };
+            match &line.what {
+                What::Asked { .. } => taken.entry(of).or_default().push(line.at),
+                What::Sent { shot, .. } if *shot > 0 => further.entry(of).or_default().push(line),
+                _ => {}
+            }
+        }
+        for (of, lines) in further {
+            let none = Vec::new();
+            let taken = taken.get(&of).unwrap_or(&none);
+            let ups = self.up.get(&of).cloned().unwrap_or_default();
+            for (i, line) in lines.iter().enumerate() {
+                let since = ups.iter().filter(|up| **up <= line.at).fold(0.0, |a: f64, b| a.max(*b));
+                let from = (line.at - ration.window).max(since);
+                let made = lines[..=i].iter().filter(|other| other.at > from + NEAR).count();
+                let took = taken.iter().filter(|at| **at >= from - NEAR && **at <= line.at + NEAR).count();
+                let most = ration.floor + ration.share * took as f64;
+                let what = || format!("controller {of}: {made} further shots, {took} subscriptions taken");
+                book.holds(made as f64 <= most, what, &[line]);
+            }
+        }
+        book.rule
+    }
+
+    /// Gain of what played, set up within the latency goal, over the gain of what viewers wanted.
+    fn service(&self) -> Service {
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut seconds: BTreeMap<i64, (f64, f64)> = BTreeMap::new();
+        // A viewer's later tries ask for what its first one asked for already.
+        let mut firsts: BTreeMap<&str, &Line> = BTreeMap::new();
+        for line in self.lines {
+            if let What::Ask { viewer, .. } = &line.what {
+                firsts.entry(viewer).or_insert(line);
+            }
+        }
+        for line in firsts.values() {
+            let What::Ask { lane, top, wanted, .. } = &line.what else { continue };
+            let gain = self.lane(lane).map_or(1.0, |lane| lane.gain);
+            let worth = gain * self.terms.gain.get(*top).copied().unwrap_or(1.0);
+            sums.entry(lane).or_default().1 += worth * wanted;
+            let mut at = line.at;
+            let end = line.at + wanted;
+            while at < end {
+                let next = (at.floor() + 1.0).min(end);
+                seconds.entry(at.floor() as i64).or_default().1 += worth * (next - at);
+                at = next;
+            }
+        }
+        for ask in self.asks.values() {
+            let Some(line) = ask.ask else { continue };
+            let What::Ask { lane, goal, .. } = &line.what else { continue };
+            let plays =
+                ask.answers.iter().find(|line| matches!(&line.what, What::Answer { kind: Kind::Plays, .. }));
+            if plays.is_none_or(|plays| plays.at > *goal) {
+                continue;
+            }
+            let gain = self.lane(lane).map_or(1.0, |lane| lane.gain);
+            for line in &ask.given {
+                let What::Given { rung, seconds: lasted, share, .. } = &line.what else { continue };
+                let rung = self.terms.gain.get(*rung).copied().unwrap_or(0.0);
+                let lost = self.terms.shortfall_cost * (0.98 - share).max(0.0);
+                let earned = gain * rung * lasted * (1.0 - lost).max(0.0);
+                sums.entry(lane).or_default().0 += earned;
+                seconds.entry((line.at - lasted / 2.0).floor() as i64).or_default().0 += earned;
+            }
+        }
+        let ratio = |(earned, asked): (f64, f64)| if asked > 0.0 { earned / asked } else { 1.0 };
+        let whole = ratio(sums.values().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1)));
+        let moments: Vec<i64> = seconds.keys().copied().collect();
+        let window = |from: i64| {
+            let parts = seconds.range(from..from + 10).map(|(_, part)| *part);
+            ratio(parts.fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1)))
+        };
+        let (first, last) = (moments.first().copied().unwrap_or(0), moments.last().copied().unwrap_or(0));
+        let worst_ten_s = (first..=(last - 9).max(first)).map(window).fold(f64::INFINITY, f64::min);
+        Service {
+            whole,
+            lanes: sums.iter().map(|(lane, sum)| ((*lane).to_owned(), ratio(*sum))).collect(),
+            worst_ten_s: if worst_ten_s.is_finite() { worst_ten_s } else { 1.0 },
+        }
+    }
+}
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -1,1 +1,10 @@
-//! x
+//! Stand-ins for what lemontide meets in service: scripted streamers and players, the days that they play, and
+//! the judge that checks the rules from taps alone.
+
+pub mod day;
+pub mod import;
+pub mod judge;
+pub mod model;
+pub mod player;
+pub mod run;
+pub mod streamer;
--- /dev/null
+++ b/crates/lemontide-standin/src/player.rs
@@ -0,0 +1,276 @@
+//! Players: viewers who come, wait, watch, leave and come again, each over its own HTTP connections.
+
+use crate::day::{Day, What};
+use crate::streamer::{Fault, Fleet, FAULT_EVERY};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use lemontide_front::settings::Repeat;
+use lemontide_wire::clock::Clock;
+use lemontide_wire::cmcd::Cmcd;
+use lemontide_wire::play::{Answer, News, Over, Wish};
+use lemontide_wire::tap::{Kind, Tap, What as Seen};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// Tries of one viewer at most.
+const TRIES_MOST: u32 = 8;
+/// A controller that does not take a connection by then is not there.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// One viewer as the day draws it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Viewer {
+    pub number: usize,
+    pub at_s: f64,
+    pub zone: usize,
+    pub lane: usize,
+    pub tenant: Option<usize>,
+    pub title: String,
+    pub watches_s: f64,
+    pub top: usize,
+    pub leaves_early: bool,
+    pub impatient: bool,
+    pub seed: u64,
+}
+
+/// All viewers of a day, in the order in which they come: the same for the same day.
+pub fn draw(day: &Day) -> Vec<Viewer> {
+    let mut chance = StdRng::seed_from_u64(day.seed);
+    let mut viewers = Vec::new();
+    let mut at_s = 0.0;
+    let weights: Vec<(&String, f64)> = day.titles.iter().map(|(name, title)| (name, title.share)).collect();
+    loop {
+        at_s += -(1.0 - chance.random::<f64>()).ln() / day.viewers.per_s.max(1e-3);
+        if at_s >= day.length_s {
+            return viewers;
+        }
+        let lane = pick(&mut chance, day.lanes.iter().map(|lane| lane.share));
+        let mut title = weights[pick(&mut chance, weights.iter().map(|w| w.1))].0.clone();
+        for trouble in &day.troubles {
+            if let What::Crowd { titles, share } = &trouble.what {
+                let on = (trouble.at_s..trouble.at_s + trouble.for_s).contains(&at_s);
+                if on && !titles.is_empty() && chance.random::<f64>() < *share {
+                    title = titles[chance.random_range(0..titles.len())].clone();
+                }
+            }
+        }
+        let (least, most) = day.lanes[lane].watched_s;
+        let highest = day.ladder.kb.len() - 1;
+        let small = chance.random::<f64>() < day.viewers.small_screens;
+        let top = day.lanes[lane].lane.top.unwrap_or(highest).min(highest);
+        viewers.push(Viewer {
+            number: viewers.len(),
+            at_s,
+            zone: chance.random_range(0..day.zones.len()),
+            lane,
+            tenant: (!day.tenants.is_empty()).then(|| pick(&mut chance, day.tenants.iter().map(|t| t.share))),
+            title,
+            watches_s: least + (most - least).max(0.0) * chance.random::<f64>(),
+            top: if small { top.saturating_sub(2).max(day.lanes[lane].lane.floor) } else { top },
+            leaves_early: chance.random::<f64>() < day.viewers.leave_early,
+            impatient: chance.random::<f64>() < day.viewers.impatient,
+            seed: chance.random(),
+        });
+    }
+}
+
+fn pick(chance: &mut StdRng, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut left = chance.random::<f64>() * weights.clone().sum::<f64>();
+    let count = weights.clone().count();
+    weights.take_while(|weight| (left -= weight, left >= 0.0).1).count().min(count.saturating_sub(1))
+}
+
+/// What all players of a day share.
+pub struct Audience {
+    pub day: Arc<Day>,
+    pub clock: Clock,
+    pub tap: Tap,
+    pub fleet: Fleet,
+    /// Where each controller listens; the old address while nobody has noticed that it is gone.
+    pub controllers: RwLock<Vec<Option<SocketAddr>>>,
+    pub fault: Option<Fault>,
+    answers: AtomicU64,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+enum Ended {
+    Done,
+    /// Comes again, if at all, after this wait at least.
+    Again(f64),
+}
+
+impl Audience {
+    pub fn new(day: Arc<Day>, clock: Clock, tap: Tap, fleet: Fleet, fault: Option<Fault>) -> Audience {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        let controllers = RwLock::new(vec![None; day.controllers.len()]);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Audience { day, clock, tap, fleet, controllers, fault, answers: AtomicU64::new(0), client }
+    }
+
+    /// One viewer, from its first try to its last.
+    pub async fn watch(self: Arc<Self>, viewer: Viewer) {
+        let mut chance = StdRng::seed_from_u64(viewer.seed);
+        let until = Instant::now() + Duration::from_secs_f64(viewer.watches_s);
+        for number in 0..TRIES_MOST {
+            let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+            if left < 0.5 {
+                return;
+            }
+            let Ended::Again(wait) = self.attempt(&viewer, number, left, &mut chance).await else { return };
+            if chance.random::<f64>() >= self.day.viewers.returns {
+                return;
+            }
+            let rejoin = self.day.viewers.rejoin_s * (0.5 + chance.random::<f64>());
+            sleep(Duration::from_secs_f64(rejoin.max(wait))).await;
+        }
+    }
+
+    /// A controller of the zone, or of any where the zone has none; viewers lean to some.
+    fn controller(&self, zone: usize, chance: &mut StdRng) -> usize {
+        let day = &self.day;
+        let near = |number: &usize| day.controllers[*number] == day.zones[zone];
+        let mut all: Vec<usize> = (0..day.controllers.len()).filter(near).collect();
+        if all.is_empty() {
+            all = (0..day.controllers.len()).collect();
+        }
+        let weight = |place: usize| 1.0 / (1.0 + day.viewers.lean * 3.0 * place as f64);
+        all[pick(chance, (0..all.len()).map(weight))]
+    }
+
+    async fn attempt(&self, viewer: &Viewer, number: u32, left: f64, chance: &mut StdRng) -> Ended {
+        let controller = self.controller(viewer.zone, chance);
+        let lane = &self.day.lanes[viewer.lane];
+        let ask = format!("v{}.{number}", viewer.number);
+        let now = self.clock.now();
+        let cut_off = now + lane.lane.cut_off_s;
+        self.fleet.with(|model, _| model.wants(&ask, left));
+        self.tap.write_at(
+            now,
+            Seen::Ask {
+                ask: ask.clone(),
+                viewer: format!("v{}", viewer.number),
+                controller,
+                lane: lane.lane.name.clone(),
+                title: viewer.title.clone(),
+                goal: now + lane.lane.latency_goal_s,
+                cut_off,
+                top: viewer.top,
+                wanted: left,
+            },
+        );
+        let address = self.controllers.read().unwrap_or_else(PoisonError::into_inner)[controller];
+        let Some(address) = address else {
+            self.tap.write(Seen::Answer { ask, kind: Kind::None });
+            return Ended::Again(0.0);
+        };
+        let wish = Wish {
+            title: viewer.title.clone(),
+            lane: lane.lane.name.clone(),
+            tenant: viewer.tenant.map_or_else(String::new, |t| self.day.tenants[t].name.clone()),
+            ask: ask.clone(),
+            give_up_in_s: Some(lane.lane.cut_off_s),
+            top: Some(viewer.top),
+            returned: number > 0,
+            length_s: Some(left),
+            cmcd: None,
+        };
+        let patience = if viewer.impatient {
+            lane.lane.cut_off_s * (0.1 + 0.5 * chance.random::<f64>())
+        } else {
+            lane.lane.cut_off_s + self.day.rules.answer_slack_s
+        };
+        let wait = Instant::now() + Duration::from_secs_f64(patience);
+        // To go away is to drop the request: the connection closes, and the controller hears it.
+        let answer = timeout_at(wait, self.post(address, viewer, &wish)).await;
+        let Ok(answer) = answer else {
+            self.tap.write(Seen::Left { ask });
+            return Ended::Done;
+        };
+        let said = answer.ok();
+        let kind = match &said {
+            Some(Answer::Plays { .. }) => Kind::Plays,
+            Some(Answer::TurnedBack { .. }) => Kind::TurnedBack,
+            Some(Answer::Scrapped { .. }) => Kind::Scrapped,
+            Some(Answer::NotTaken { .. }) => Kind::NotTaken,
+            None => Kind::None,
+        };
+        let count = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.fault != Some(Fault::Swallows) || !count.is_multiple_of(FAULT_EVERY) {
+            self.tap.write(Seen::Answer { ask, kind });
+        }
+        match said {
+            Some(Answer::Plays { subscription, .. }) => {
+                let leaves = viewer.leaves_early.then_some(left / 2.0);
+                self.play(address, subscription, left, leaves).await
+            }
+            Some(Answer::TurnedBack { retry_after_s, .. } | Answer::NotTaken { retry_after_s, .. }) => {
+                Ended::Again(retry_after_s.unwrap_or(0.0))
+            }
+            Some(Answer::Scrapped { .. }) if lane.lane.repeat == Repeat::Paid => Ended::Done,
+            Some(Answer::Scrapped { .. }) | None => Ended::Again(0.0),
+        }
+    }
+
+    async fn post(&self, to: SocketAddr, viewer: &Viewer, wish: &Wish) -> Result<Answer, BoxError> {
+        let hints = Cmcd { session: Some(format!("v{}", viewer.number)), startup: true, ..Cmcd::default() };
+        let mut request =
+            Request::builder().method(Method::POST).uri(format!("http://{to}/v1/subscriptions"));
+        for (name, value) in hints.fields() {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(serde_json::to_vec(wish)?)))?;
+        let response = self.client.request(request).await?;
+        Ok(serde_json::from_slice(&response.into_body().collect().await?.to_bytes())?)
+    }
+
+    async fn call(&self, to: SocketAddr, method: Method, path: &str) -> Result<Response<Incoming>, BoxError> {
+        let uri = format!("http://{to}{path}");
+        Ok(self.client.request(Request::builder().method(method).uri(uri).body(Full::default())?).await?)
+    }
+
+    /// Listens to the news of a subscription until it is over; leaves it before, where the viewer does.
+    async fn play(&self, to: SocketAddr, subscription: u32, left: f64, leaves: Option<f64>) -> Ended {
+        let path = format!("/v1/subscriptions/{subscription}");
+        let listens = async {
+            let response = self.call(to, Method::GET, &format!("{path}/news")).await.ok()?;
+            if !response.status().is_success() {
+                return None;
+            }
+            let mut body = response.into_body();
+            let mut text = Vec::new();
+            while let Some(Ok(frame)) = body.frame().await {
+                text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
+                while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+                    let line: Vec<u8> = text.drain(..=end).collect();
+                    if let Ok(News::Over { why }) = serde_json::from_slice(&line) {
+                        return Some(why);
+                    }
+                }
+            }
+            // The controller is gone.
+            None
+        };
+        let most = Duration::from_secs_f64(leaves.unwrap_or(left + 10.0));
+        match timeout(most, listens).await {
+            Ok(Some(Over::Served | Over::Left)) => Ended::Done,
+            Ok(Some(Over::Broken | Over::Moved | Over::Stopped) | None) => Ended::Again(0.0),
+            Err(_) => {
+                let _ = timeout(CONNECT, self.call(to, Method::DELETE, &path)).await;
+                Ended::Done
+            }
+        }
+    }
+}
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
--- /dev/null
+++ b/crates/lemontide-standin/src/run.rs
@@ -0,0 +1,315 @@
+//! Runs a day: streamers and players here, each controller as a process of its own, the list as a file, and the
+//! troubles by the clock. Every end writes a tap into the day's folder.
+
+use crate::day::{Day, What};
+use crate::player::{draw, Audience};
+use crate::streamer::{Fault, Fleet};
+use lemontide_wire::clock::Clock;
+use lemontide_wire::list::{Entry, List, Stage};
+use lemontide_wire::tap::{Tap, What as Seen};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A controller that does not say by then where it listens is broken.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+/// What is left of a day after the last viewer should be through.
+const AFTER: Duration = Duration::from_secs(30);
+
+/// How a day is run.
+pub struct How {
+    /// The program that is started as `PROGRAM front --settings FILE`.
+    pub program: PathBuf,
+    /// An empty folder for settings, list, logs and taps.
+    pub folder: PathBuf,
+    pub fault: Option<Fault>,
+}
+
+/// What a day left: its taps, and how many viewers came.
+pub struct Ran {
+    pub taps: Vec<PathBuf>,
+    pub viewers: usize,
+    /// Seconds that it took.
+    pub took_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Listening {
+    listening: SocketAddr,
+}
+
+enum Step {
+    Begin(usize),
+    End(usize),
+    Kill(usize),
+    Start(usize),
+    Pause(usize),
+    Continue(usize),
+    Die(usize),
+    Born(usize),
+    /// The list learns that a streamer is at this stage.
+    Stage(usize, Stage),
+    /// Players notice that a controller is gone.
+    Forget(usize),
+}
+
+/// The steps of all troubles, in the order of the clock.
+fn script(day: &Day) -> Vec<(f64, Step)> {
+    let mut steps = Vec::new();
+    for (i, trouble) in day.troubles.iter().enumerate() {
+        let (from, to) = (trouble.at_s, trouble.at_s + trouble.for_s);
+        match &trouble.what {
+            What::KillControllers { on, down_s } => {
+                for (k, number) in on.iter().enumerate() {
+                    let at = from + trouble.for_s * k as f64 / on.len().max(1) as f64;
+                    steps.push((at, Step::Kill(*number)));
+                    if day.viewers.notice_s < *down_s {
+                        steps.push((at + day.viewers.notice_s, Step::Forget(*number)));
+                    }
+                    steps.push((at + down_s, Step::Start(*number)));
+                }
+                continue;
+            }
+            What::PauseControllers { on } => {
+                steps.extend(on.iter().map(|number| (from, Step::Pause(*number))));
+                steps.extend(on.iter().map(|number| (to, Step::Continue(*number))));
+                continue;
+            }
+            What::Removal { on, notice_s, spares, spares_after_s } => {
+                for at in on {
+                    steps.push((from, Step::Stage(*at, Stage::Draining)));
+                    steps.push((from + notice_s, Step::Die(*at)));
+                    steps.push((from + notice_s + day.news.ended_s, Step::Stage(*at, Stage::Gone)));
+                }
+                for at in spares {
+                    let born = from + notice_s + spares_after_s;
+                    steps.push((born, Step::Born(*at)));
+                    steps.push((born + day.news.started_s, Step::Stage(*at, Stage::Ready)));
+                }
+                continue;
+            }
+            What::Vanish { on } => {
+                for at in on {
+                    if day.news.silent_s < trouble.for_s {
+                        steps.push((from + day.news.silent_s, Step::Stage(*at, Stage::Gone)));
+                    }
+                    steps.push((to + day.news.started_s, Step::Stage(*at, Stage::Ready)));
+                }
+            }
+            What::Ageing { on } => {
+                steps.extend(on.iter().map(|at| (to + day.news.started_s, Step::Stage(*at, Stage::Ready))));
+            }
+            _ => {}
+        }
+        steps.push((from, Step::Begin(i)));
+        steps.push((to, Step::End(i)));
+    }
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    steps
+}
+
+struct Stagehand {
+    day: Arc<Day>,
+    clock: Clock,
+    how: How,
+    tap: Tap,
+    fleet: Fleet,
+    list: List,
+    audience: Arc<Audience>,
+    controllers: Vec<Option<Child>>,
+}
+
+/// Runs a day to its end. Errors: the folder or sockets are not to be had, or a controller does not start.
+pub async fn run(day: Day, how: How) -> io::Result<Ran> {
+    let began = Instant::now();
+    let day = Arc::new(day);
+    let clock = Clock::start();
+    std::fs::create_dir_all(&how.folder)?;
+    let tap = Tap::to(&how.folder.join("day.tap"), clock, "day")?;
+    tap.write(Seen::Terms { terms: day.terms() });
+    let streamers = Tap::to(&how.folder.join("streamers.tap"), clock, "streamers")?;
+    let fleet = Fleet::start(&day, clock, streamers, how.fault).await?;
+    let players = Tap::to(&how.folder.join("players.tap"), clock, "players")?;
+    let audience = Arc::new(Audience::new(day.clone(), clock, players, fleet.clone(), how.fault));
+    let entry = |(at, streamer): (usize, &crate::day::Streamer)| Entry {
+        streamer: streamer.name.clone(),
+        address: fleet.addresses[at].to_string(),
+        zone: streamer.zone.clone(),
+        kind: day.kind.clone(),
+        cell: streamer.cell,
+        stage: Stage::Ready,
+        weight: streamer.weight,
+        started: None,
+    };
+    let there = day.streamers.iter().enumerate().filter(|(_, streamer)| !streamer.spare);
+    let list = List { version: 1, streamers: there.map(entry).collect() };
+    let controllers = day.controllers.iter().map(|_| None).collect();
+    let mut hand =
+        Stagehand { day: day.clone(), clock, how, tap, fleet, list, audience: audience.clone(), controllers };
+    hand.write_list()?;
+    for number in 0..day.controllers.len() {
+        hand.start(number).await?;
+    }
+    let viewers = draw(&day);
+    let count = viewers.len();
+    let opens = Instant::now();
+    let watched = tokio::spawn(async move {
+        let mut watching = JoinSet::new();
+        for viewer in viewers {
+            tokio::time::sleep_until(opens + Duration::from_secs_f64(viewer.at_s)).await;
+            watching.spawn(audience.clone().watch(viewer));
+            while watching.try_join_next().is_some() {}
+        }
+        while watching.join_next().await.is_some() {}
+    });
+    for (at, step) in script(&day) {
+        tokio::time::sleep_until(opens + Duration::from_secs_f64(at)).await;
+        hand.step(step).await?;
+    }
+    let longest = day.lanes.iter().map(|lane| lane.watched_s.1).fold(0.0, f64::max);
+    let last = opens + Duration::from_secs_f64(day.length_s + longest) + AFTER;
+    let _ = tokio::time::timeout_at(last, watched).await;
+    // What the last news said is written down before the ends go away.
+    sleep(Duration::from_millis(300)).await;
+    hand.end().await;
+    let mut taps = vec!["day.tap".into(), "streamers.tap".into(), "players.tap".into()];
+    taps.extend((0..day.controllers.len()).map(|number| format!("controller-{number}.tap")));
+    let taps = taps.iter().map(|name: &String| hand.how.folder.join(name)).collect();
+    Ok(Ran { taps, viewers: count, took_s: began.elapsed().as_secs_f64() })
+}
+
+impl Stagehand {
+    async fn step(&mut self, step: Step) -> io::Result<()> {
+        match step {
+            Step::Begin(i) | Step::End(i) => {
+                let begins = matches!(step, Step::Begin(_));
+                let day = self.day.clone();
+                self.fleet.with(|model, now| model.trouble(now, &day.troubles[i].what, begins));
+            }
+            Step::Die(at) => self.fleet.with(|model, _| model.kill(at)),
+            Step::Born(at) => self.fleet.with(|model, now| model.restart(now, at)),
+            Step::Stage(at, stage) => self.tell(at, stage)?,
+            Step::Kill(number) => {
+                if let Some(mut child) = self.controllers[number].take() {
+                    self.tap.write(Seen::Killed { controller: number });
+                    child.kill().await?;
+                }
+            }
+            Step::Forget(number) => self.point(number, None),
+            Step::Start(number) => self.start(number).await?,
+            Step::Pause(number) => self.signal(number, Signal::SIGSTOP, Seen::Paused { controller: number }),
+            Step::Continue(number) => {
+                self.signal(number, Signal::SIGCONT, Seen::Continued { controller: number });
+            }
+        }
+        Ok(())
+    }
+
+    fn signal(&self, number: usize, signal: Signal, seen: Seen) {
+        let id = self.controllers[number].as_ref().and_then(Child::id);
+        if let Some(id) = id.and_then(|id| i32::try_from(id).ok()) {
+            self.tap.write(seen);
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    fn point(&self, number: usize, at: Option<SocketAddr>) {
+        self.audience.controllers.write().unwrap_or_else(PoisonError::into_inner)[number] = at;
+    }
+
+    /// Starts a controller's process and waits until it says where it listens.
+    async fn start(&mut self, number: usize) -> io::Result<()> {
+        let folder = &self.how.folder;
+        let tap = folder.join(format!("controller-{number}.tap"));
+        let settings =
+            self.day.settings(number, &folder.join("list.json"), Some(tap), self.day.seed + number as u64);
+        let file = folder.join(format!("controller-{number}.json"));
+        std::fs::write(&file, serde_json::to_vec_pretty(&settings)?)?;
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("controller-{number}.log")))?;
+        let mut child = Command::new(&self.how.program)
+            .arg("front")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        let said = child.stdout.take().map(BufReader::new);
+        let mut line = String::new();
+        if let Some(mut said) = said {
+            let _ = timeout(STARTS_WITHIN, said.read_line(&mut line)).await;
+        }
+        let Ok(Listening { listening }) = serde_json::from_str(&line) else {
+            let what = format!("controller {number} did not start; its log is in {}", folder.display());
+            return Err(io::Error::other(what));
+        };
+        self.controllers[number] = Some(child);
+        self.point(number, Some(listening));
+        Ok(())
+    }
+
+    fn tell(&mut self, at: usize, stage: Stage) -> io::Result<()> {
+        let streamer = &self.day.streamers[at];
+        let (started, dead) = self.fleet.with(|model, _| (model.started(at), model.is_dead(at)));
+        let stage = if dead { Stage::Gone } else { stage };
+        let entry = Entry {
+            streamer: streamer.name.clone(),
+            address: self.fleet.addresses[at].to_string(),
+            zone: streamer.zone.clone(),
+            kind: self.day.kind.clone(),
+            cell: streamer.cell,
+            stage,
+            weight: streamer.weight,
+            started,
+        };
+        match self.list.streamers.iter_mut().find(|old| old.streamer == entry.streamer) {
+            Some(old) => *old = entry,
+            None => self.list.streamers.push(entry),
+        }
+        self.list.version += 1;
+        self.write_list()
+    }
+
+    /// Replaces the list's file in one go.
+    fn write_list(&self) -> io::Result<()> {
+        let entries = self.list.streamers.clone();
+        self.tap.write(Seen::Listed { version: self.list.version, entries });
+        replace(&self.how.folder.join("list.json"), &serde_json::to_vec(&self.list)?)
+    }
+
+    /// Ends the controllers: politely, and outright where that does not help.
+    async fn end(&mut self) {
+        for child in self.controllers.iter().flatten() {
+            if let Some(id) = child.id().and_then(|id| i32::try_from(id).ok()) {
+                let _ = kill(Pid::from_raw(id), Signal::SIGTERM);
+            }
+        }
+        for child in self.controllers.iter_mut().flatten() {
+            if timeout(Duration::from_secs(5), child.wait()).await.is_err() {
+                let _ = child.kill().await;
+            }
+        }
+        let _ = self.clock;
+    }
+}
+
+/// Writes a file beside and moves it into place, so that nobody reads half of it.
+pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, bytes)?;
+    std::fs::rename(beside, path)
+}
