--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -70,34 +70,48 @@
         .route("/v1/subscriptions/{id}/news", get(news))
         .route("/v1/state", get(figures))
         .with_state(serving);
-    let room = Arc::new(Semaphore::new(settings.limits.connections));
+    let stack = Stack { connections: settings.limits.connections, request };
     tokio::spawn(async move {
+        // Wishes that come while the controller stops are answered, too; so the listener stays until the end.
         let _stopped = stopped;
-        loop {
-            // A full house leaves connections in the system's queue; they are not accepted and then forgotten.
-            let Ok(permit) = room.clone().acquire_owned().await else { return };
-            let Ok((socket, _)) = listener.accept().await else {
-                // Out of descriptors, most likely: wait for some to come free.
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            let _ = socket.set_nodelay(true);
-            let service = TowerToHyperService::new(routes.clone());
-            tokio::spawn(async move {
-                let served = hyper::server::conn::http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(request)
-                    .max_buf_size(HEAD_MOST)
-                    .serve_connection(TokioIo::new(socket), service);
-                if let Err(e) = served.await {
-                    tracing::debug!(target: "http", error = %e, "connection ended");
-                }
-                drop(permit);
-            });
-        }
+        accept(listener, routes, stack).await;
     });
 }
 
+/// Bounds of the HTTP stack: connections at a time, and the time in which a head must be there.
+#[derive(Clone, Copy, Debug)]
+pub struct Stack {
+    pub connections: usize,
+    pub request: Duration,
+}
+
+/// Accepts connections and serves these routes on them, for as long as it is polled.
+pub async fn accept(listener: TcpListener, routes: Router, stack: Stack) {
+    let room = Arc::new(Semaphore::new(stack.connections));
+    loop {
+        // A full house leaves connections in the system's queue; they are not accepted and then forgotten.
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok((socket, _)) = listener.accept().await else {
+            // Out of descriptors, most likely: wait for some to come free.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        let service = TowerToHyperService::new(routes.clone());
+        tokio::spawn(async move {
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(stack.request)
+                .max_buf_size(HEAD_MOST)
+                .serve_connection(TokioIo::new(socket), service);
+            if let Err(e) = served.await {
+                tracing::debug!(target: "http", error = %e, "connection ended");
+            }
+            drop(permit);
+        });
+    }
+}
+
 /// Tells the controller when the player of a wish goes away before the answer.
 struct Waiting {
     id: u32,
--- a/crates/lemontide-standin/src/model.rs
+++ b/crates/lemontide-standin/src/model.rs
@@ -263,6 +263,9 @@
         machine.cores[core] = ready_at;
         let rate_kb = f64::from(set_up.rate_kb);
         machine.setting_up.push_back(SettingUp { key, shot, ask, lane, rung, rate_kb, ready_at });
+        if ready_at <= now {
+            self.ready(now, at);
+        }
     }
 
     fn over(&mut self, at: usize, conn: Conn, ask: &str, shot: u32, ended: Ended, how: tap::How) {
@@ -319,6 +322,9 @@
             What::Vanish { on } => on.iter().for_each(|at| {
                 if begins {
                     self.machines[*at].stand = Stand::Silent;
+                    // What it had to say is not said any more.
+                    let conns = &self.machines[*at].conns;
+                    self.later.retain(|(_, conn, _)| !conns.contains_key(conn));
                 } else {
                     self.restart(now, *at);
                 }
--- /dev/null
+++ b/crates/lemontide-standin/tests/judge.rs
@@ -0,0 +1,234 @@
+//! The judge: a clean tap passes, and for each rule a doctored one shows it broken.
+
+use lemontide_standin::judge::judge;
+use lemontide_wire::list::Stage;
+use lemontide_wire::tap::{Cold, How, Kind, LaneTerms, Line, Ration, Terms, What};
+
+fn lane(name: &str, paid: bool) -> LaneTerms {
+    LaneTerms { name: name.into(), gain: 1.0, paid, floor: 1, seats: 2 }
+}
+
+fn line(at: f64, end: &str, what: What) -> Line {
+    Line { at, end: end.into(), what }
+}
+
+fn terms() -> Line {
+    let cold = Cold { places: 10.0, span: 10.0, from: 0.5, multiple: 2.0, window: 1.0 };
+    let terms = Terms {
+        answer_slack: 0.1,
+        drain_grace: 0.5,
+        cold,
+        ration: Some(Ration { floor: 1.0, share: 0.1, window: 5.0 }),
+        lanes: vec![lane("free", false), lane("paid", true)],
+        gain: vec![0.5, 1.0],
+        shortfall_cost: 5.0,
+    };
+    line(0.0, "day", What::Terms { terms })
+}
+
+fn asked(at: f64, ask: &str, lane: &str) -> Vec<Line> {
+    let (name, title) = (ask.to_owned(), "t".to_owned());
+    let seen = What::Ask {
+        ask: name.clone(),
+        viewer: name.clone(),
+        controller: 0,
+        lane: lane.into(),
+        title: title.clone(),
+        goal: at + 1.0,
+        cut_off: at + 3.0,
+        top: 1,
+        wanted: 10.0,
+    };
+    let taken = What::Asked { ask: name, lane: lane.into(), title, cut_off: at + 3.0 };
+    vec![line(at, "players", seen), line(at, "controller:0", taken)]
+}
+
+fn shot(at: f64, ask: &str, lane: &str, shot: u32, rung: usize) -> Vec<Line> {
+    let (ask, title, streamer, lane) = (ask.to_owned(), "t".to_owned(), "s0".to_owned(), lane.to_owned());
+    let sent = What::Sent {
+        ask: ask.clone(),
+        shot,
+        streamer: streamer.clone(),
+        lane: lane.clone(),
+        title: title.clone(),
+        rung,
+    };
+    let got = What::Got { streamer, controller: 0, ask, shot, lane, title, rung };
+    vec![line(at, "controller:0", sent), line(at + 0.001, "streamer:s0", got)]
+}
+
+fn over(at: f64, ask: &str, shot: u32, how: How) -> Vec<Line> {
+    let (ask, streamer) = (ask.to_owned(), "s0".to_owned());
+    let heard = What::Heard { ask: ask.clone(), shot, how };
+    vec![
+        line(at, "streamer:s0", What::Done { streamer, ask, shot, how }),
+        line(at + 0.001, "controller:0", heard),
+    ]
+}
+
+fn answered(at: f64, ask: &str, kind: Kind) -> Vec<Line> {
+    vec![
+        line(at, "controller:0", What::Answered { ask: ask.into(), kind }),
+        line(at + 0.001, "players", What::Answer { ask: ask.into(), kind }),
+    ]
+}
+
+/// A wish that was sent back once and then played.
+fn clean() -> Vec<Line> {
+    let given = What::Given { streamer: "s0".into(), ask: "a".into(), rung: 1, seconds: 10.0, share: 1.0 };
+    let mut lines = vec![terms(), line(0.1, "controller:0", What::Up { controller: 0 })];
+    lines.extend(asked(1.0, "a", "paid"));
+    lines.extend(shot(1.1, "a", "paid", 0, 1));
+    lines.extend(over(1.2, "a", 0, How::SentBack));
+    lines.extend(shot(1.3, "a", "paid", 1, 1));
+    lines.extend(answered(1.4, "a", Kind::Plays));
+    lines.push(line(11.4, "streamer:s0", given));
+    lines.extend(over(11.4, "a", 1, How::Served));
+    lines
+}
+
+/// Which rules the lines break, by their place.
+fn broken(lines: &[Line]) -> Vec<usize> {
+    let verdict = judge(lines).expect("the terms are there");
+    let broken = verdict.rules.iter().enumerate().filter(|(_, rule)| rule.broken > 0);
+    let broken: Vec<usize> = broken.map(|(i, _)| i + 1).collect();
+    assert_eq!(verdict.is_clean(), broken.is_empty());
+    for rule in &verdict.rules {
+        assert_eq!(rule.broken > 0, rule.breaches.iter().any(|breach| !breach.lines.is_empty()));
+    }
+    broken
+}
+
+#[test]
+fn a_clean_tap_is_clean_and_earns_all() {
+    let lines = clean();
+    assert_eq!(broken(&lines), Vec::<usize>::new());
+    let verdict = judge(&lines).expect("the terms are there");
+    assert_eq!((verdict.answers.one, verdict.answers.in_time), (1, 1));
+    assert!((verdict.service.whole - 1.0).abs() < 1e-9, "{:?}", verdict.service);
+    assert!(verdict.table().contains("no set-up twice"));
+    assert!(judge(&lines[1..]).is_none(), "without terms there is no verdict");
+}
+
+#[test]
+fn rule_1_an_answer_missing_late_or_double() {
+    let mut missing = clean();
+    missing.retain(|line| !matches!(line.what, What::Answer { .. }));
+    assert_eq!(broken(&missing), [1]);
+    let mut late = clean();
+    late.iter_mut().filter(|line| matches!(line.what, What::Answer { .. })).for_each(|line| line.at = 4.2);
+    assert_eq!(broken(&late), [1]);
+    let mut twice = clean();
+    twice.extend(answered(1.5, "a", Kind::Plays));
+    assert_eq!(broken(&twice), [1]);
+    let mut unasked = clean();
+    unasked.extend(answered(1.5, "b", Kind::Plays));
+    assert_eq!(broken(&unasked), [1]);
+    // A controller that was killed owes nothing; one killed elsewhere excuses nobody.
+    missing.push(line(2.0, "day", What::Killed { controller: 0 }));
+    assert_eq!(broken(&missing), Vec::<usize>::new());
+    missing.pop();
+    missing.push(line(2.0, "day", What::Killed { controller: 1 }));
+    assert_eq!(broken(&missing), [1]);
+}
+
+#[test]
+fn rule_2_a_paid_set_up_repeated_without_proof_or_two_shots_at_once() {
+    let mut unproven = clean();
+    for line in &mut unproven {
+        if let What::Done { how, .. } | What::Heard { how, .. } = &mut line.what {
+            if *how == How::SentBack {
+                *how = How::Errored;
+            }
+        }
+    }
+    assert_eq!(broken(&unproven), [2]);
+    let mut at_once = clean();
+    at_once.retain(|line| !matches!(line.what, What::Heard { how: How::SentBack, .. }));
+    assert_eq!(broken(&at_once), [2]);
+    let mut doubled = clean();
+    let again = doubled.iter().find(|line| matches!(line.what, What::Got { .. })).cloned();
+    doubled.extend(again);
+    assert_eq!(broken(&doubled), [2]);
+    let mut unsent = clean();
+    unsent.retain(|line| !matches!(line.what, What::Sent { shot: 0, .. }));
+    assert_eq!(broken(&unsent), [2]);
+    let mut turned_back = vec![terms()];
+    turned_back.extend(asked(1.0, "a", "paid"));
+    turned_back.extend(shot(1.1, "a", "paid", 0, 1));
+    turned_back.extend(over(1.2, "a", 0, How::Errored));
+    turned_back.extend(answered(1.3, "a", Kind::TurnedBack));
+    assert_eq!(broken(&turned_back), [2]);
+}
+
+#[test]
+fn rule_3_sent_after_the_grace_of_a_drain() {
+    let told =
+        |at: f64, stage| line(at, "controller:0", What::Told { streamer: "s0".into(), stage, started: None });
+    let mut in_grace = clean();
+    in_grace.push(told(0.9, Stage::Draining));
+    assert_eq!(broken(&in_grace), Vec::<usize>::new());
+    let mut late = clean();
+    late.push(told(0.5, Stage::Draining));
+    assert_eq!(broken(&late), [3]);
+    late.push(told(0.7, Stage::Ready));
+    assert_eq!(broken(&late), Vec::<usize>::new(), "it is back");
+}
+
+#[test]
+fn rule_4_a_cold_streamer_pushed_over_by_who_knew() {
+    // Ten places over ten seconds, half warm, twice that: one a second, and one of slack.
+    let burst = |knew: bool| {
+        let mut lines = clean();
+        lines.push(line(20.0, "streamer:s0", What::Born { streamer: "s0".into(), started: 20.0 }));
+        if knew {
+            let told = What::Told { streamer: "s0".into(), stage: Stage::Ready, started: Some(20.0) };
+            lines.push(line(20.1, "controller:0", told));
+        }
+        for i in 0..6 {
+            let (ask, at) = (format!("b{i}"), 20.3 + f64::from(i) * 0.05);
+            lines.extend(asked(at, &ask, "free"));
+            lines.extend(shot(at, &ask, "free", 0, 1));
+            lines.extend(over(at + 0.01, &ask, 0, How::Served));
+            lines.extend(answered(at + 0.01, &ask, Kind::Plays));
+        }
+        lines
+    };
+    assert_eq!(broken(&burst(true)), [4]);
+    assert_eq!(broken(&burst(false)), Vec::<usize>::new(), "nobody knew");
+}
+
+#[test]
+fn rule_5_under_the_floor_or_over_the_seats() {
+    let mut low = clean();
+    for line in &mut low {
+        if let What::Got { rung, shot: 1, .. } = &mut line.what {
+            *rung = 0;
+        }
+    }
+    assert_eq!(broken(&low), [5]);
+    let mut seats = clean();
+    for ask in ["b", "c"] {
+        seats.extend(asked(2.0, ask, "paid"));
+        seats.extend(shot(2.1, ask, "paid", 0, 1));
+        seats.extend(answered(2.2, ask, Kind::Plays));
+    }
+    assert_eq!(broken(&seats), [5], "three hold two seats");
+    seats.retain(|line| !matches!(&line.what, What::Sent { ask, .. } | What::Got { ask, .. } if ask == "c"));
+    assert_eq!(broken(&seats), Vec::<usize>::new());
+}
+
+#[test]
+fn rule_6_more_further_shots_than_the_ration() {
+    let mut lines = clean();
+    for (i, ask) in ["b", "c"].iter().enumerate() {
+        let at = 2.0 + i as f64 * 0.2;
+        lines.extend(asked(at, ask, "free"));
+        lines.extend(shot(at, ask, "free", 0, 1));
+        lines.extend(over(at + 0.05, ask, 0, How::Errored));
+        lines.extend(shot(at + 0.1, ask, "free", 1, 1));
+        lines.extend(over(at + 0.12, ask, 1, How::Served));
+        lines.extend(answered(at + 0.15, ask, Kind::Plays));
+    }
+    assert_eq!(broken(&lines), [6], "one, and a tenth of three, are allowed in five seconds");
+}
