--- /dev/null
+++ b/crates/lemontide-gossip/src/membership.rs
@@ -0,0 +1,619 @@
+//! Who is there: membership after SWIM, with suspicion and incarnations, indirect probes, and an instance that
+//! doubts itself first when it is slow. Words of others never bury a member: they make this instance look for
+//! itself, and only its own unanswered probes, or several accusers at once, raise a suspicion here.
+//!
+//! Names and times only; signatures, bytes and sockets are `node`'s matter.
+
+use crate::message::{Record, Suspicion};
+use lemontide::clock::{Point, Span};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
+
+/// Others that are asked to probe for this instance.
+const HELPERS: usize = 3;
+/// How slow an instance may think itself, in steps.
+const HEALTH_MOST: u32 = 8;
+/// Accusers beside this instance that raise a suspicion by themselves.
+const ACCUSERS_LEAST: usize = 2;
+/// Confirmations that shorten a suspicion to its least.
+const CONFIRMS: f64 = 3.0;
+/// Members at most; more are not taken in.
+const MEMBERS_MOST: usize = 8192;
+/// Rumours in hand at most, and how often each is passed on: so many times the logarithm of the fleet's size.
+const RUMOURS_MOST: usize = 2048;
+const SPREAD: f64 = 3.0;
+/// An instance answers accusations at most this often.
+const REFUTE_EVERY: Span = Span::of_millis(300);
+/// Probes asked for out of turn that wait at most.
+const URGENT_MOST: usize = 64;
+
+/// The protocol's pace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// One probe each period; answered within this time, or others are asked to help.
+    pub period: Span,
+    pub timeout: Span,
+    /// A dead member is remembered for so long, and one of them is called on this often.
+    pub forget: Span,
+    pub heal: Span,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            period: Span::of_millis(1000),
+            timeout: Span::of_millis(300),
+            forget: Span::of_millis(120_000),
+            heal: Span::of_millis(3000),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Status {
+    Alive,
+    /// Under suspicion since then, by these.
+    Suspect {
+        since: Point,
+        accusers: BTreeSet<String>,
+    },
+    Dead {
+        since: Point,
+    },
+    Left {
+        since: Point,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub record: Record,
+    pub status: Status,
+    /// When it was last heard itself.
+    pub heard: Option<Point>,
+    /// Others that accused it at this incarnation, while it is not suspected here.
+    accusers: BTreeMap<String, Point>,
+}
+
+/// Something to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Ping {
+        to: String,
+        nonce: u64,
+    },
+    Ack {
+        to: String,
+        nonce: u64,
+    },
+    PingReq {
+        to: String,
+        target: String,
+        nonce: u64,
+    },
+    /// Exchange what is known; with a member that counts as dead this heals partitions.
+    Sync {
+        to: String,
+    },
+}
+
+/// What operators see.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Joined(String),
+    Suspected(String),
+    Died(String),
+    Returned(String),
+    Left(String),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    Direct,
+    Indirect,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: String,
+    nonce: u64,
+    stage: Stage,
+    began: Point,
+    ends: Point,
+}
+
+/// Something to be passed on, with how often it was.
+#[derive(Clone, Debug)]
+pub enum Rumour {
+    Record(Record),
+    Suspicion(Suspicion),
+}
+
+#[derive(Clone, Debug)]
+pub struct Membership {
+    pace: Pace,
+    me: String,
+    pub record: Record,
+    peers: BTreeMap<String, Peer>,
+    turn: Vec<String>,
+    urgent: VecDeque<String>,
+    probe: Option<Probe>,
+    /// Probes done for others: their nonce here, who asked, and with which nonce there.
+    errands: BTreeMap<u64, (String, u64, Point)>,
+    next_probe: Point,
+    next_heal: Point,
+    refuted: Option<Point>,
+    pub health: u32,
+    ticked: Point,
+    nonce: u64,
+    chance: StdRng,
+    rumours: BTreeMap<(bool, String), (Rumour, u32)>,
+    pub acts: Vec<Act>,
+    pub changes: Vec<Change>,
+    /// The own record changed and must be signed anew before it goes out.
+    pub unsigned: bool,
+}
+
+impl Membership {
+    pub fn new(now: Point, pace: Pace, me: &str, address: &str, seed: u64) -> Membership {
+        let mut chance = StdRng::seed_from_u64(seed);
+        // Spread over the period, so that a fleet that starts together does not probe together.
+        let first = now + pace.period * chance.random::<f64>();
+        Membership {
+            pace,
+            me: me.to_owned(),
+            record: Record { name: me.to_owned(), address: address.to_owned(), ..Record::default() },
+            peers: BTreeMap::new(),
+            turn: Vec::new(),
+            urgent: VecDeque::new(),
+            probe: None,
+            errands: BTreeMap::new(),
+            next_probe: first,
+            next_heal: now + pace.heal * chance.random::<f64>(),
+            refuted: None,
+            health: 0,
+            ticked: now,
+            nonce: seed,
+            chance,
+            rumours: BTreeMap::new(),
+            acts: Vec::new(),
+            changes: Vec::new(),
+            unsigned: true,
+        }
+    }
+
+    pub fn peers(&self) -> impl Iterator<Item = (&String, &Peer)> {
+        self.peers.iter()
+    }
+
+    pub fn peer(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    pub fn address(&self, name: &str) -> Option<&str> {
+        self.peers.get(name).map(|peer| peer.record.address.as_str())
+    }
+
+    /// Members that count as alive here, this one and suspects among them.
+    pub fn alive(&self) -> usize {
+        1 + self.peers.values().filter(|peer| peer.lives()).count()
+    }
+
+    /// The same for all who agree on who lives, and at which incarnation.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = std::collections::hash_map::DefaultHasher::new();
+        let mut living: Vec<(&str, u64)> = self
+            .peers
+            .values()
+            .filter(|p| p.lives())
+            .map(|p| (p.record.name.as_str(), p.record.incarnation))
+            .collect();
+        living.push((&self.me, self.record.incarnation));
+        living.sort_unstable();
+        living.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn nonce(&mut self) -> u64 {
+        self.nonce =
+            self.nonce.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.nonce
+    }
+
+    /// Slower for an instance that finds itself slow: it gives others more time before it accuses them.
+    fn slowed(&self, span: Span) -> Span {
+        span * f64::from(1 + self.health)
+    }
+
+    fn logarithm(&self) -> f64 {
+        (self.alive() as f64 + 1.0).log2().max(1.0)
+    }
+
+    /// How long a suspicion lasts before the member counts as dead: less the more accuse it.
+    fn patience(&self, accusers: usize) -> Span {
+        let least = self.pace.period * (1.5 * self.logarithm());
+        let confirmed = (accusers.saturating_sub(1)) as f64;
+        let part = ((confirmed + 1.0).ln() / (CONFIRMS + 1.0).ln()).min(1.0);
+        self.slowed(least * (1.0 + 2.0 * (1.0 - part)))
+    }
+
+    /// When `tick` wants to be called next.
+    pub fn next(&self) -> Point {
+        let probe = self.probe.as_ref().map(|probe| match probe.stage {
+            Stage::Direct => probe.began + self.slowed(self.pace.timeout),
+            Stage::Indirect => probe.ends,
+        });
+        let next = probe.map_or(self.next_probe, |at| at.min(self.next_probe));
+        next.min(self.next_heal)
+    }
+
+    pub fn tick(&mut self, now: Point) {
+        // An instance that stood still itself has missed its own acks: it doubts itself first.
+        let gap = now - self.ticked;
+        self.ticked = now;
+        if gap > self.pace.period * 2.0 {
+            self.stood_still(now, gap);
+        }
+        self.bury(now);
+        if let Some(probe) = self.probe.clone() {
+            match probe.stage {
+                Stage::Direct if now - probe.began >= self.slowed(self.pace.timeout) => {
+                    self.ask_others(&probe)
+                }
+                Stage::Indirect if now >= probe.ends => {
+                    self.probe = None;
+                    self.health = (self.health + 1).min(HEALTH_MOST);
+                    self.accuse(now, &probe.target);
+                }
+                _ => {}
+            }
+        }
+        if now >= self.next_probe && self.probe.is_none() {
+            self.next_probe = now + self.slowed(self.pace.period);
+            self.start_probe(now);
+        }
+        if now >= self.next_heal {
+            self.next_heal = now + self.pace.heal * (0.5 + self.chance.random::<f64>());
+            self.heal(now);
+        }
+        let period = self.pace.period;
+        self.errands.retain(|_, (_, _, at)| now - *at < period * 2.0);
+    }
+
+    fn stood_still(&mut self, now: Point, gap: Span) {
+        self.probe = None;
+        self.health = (self.health + 2).min(HEALTH_MOST);
+        self.next_probe = now;
+        for peer in self.peers.values_mut() {
+            if let Status::Suspect { since, .. } = &mut peer.status {
+                *since = *since + gap;
+            }
+        }
+    }
+
+    /// Suspicions that lasted out become deaths; the dead are forgotten after a while.
+    fn bury(&mut self, now: Point) {
+        let mut died = Vec::new();
+        for (name, peer) in &self.peers {
+            if let Status::Suspect { since, accusers } = &peer.status {
+                if now - *since >= self.patience(accusers.len()) {
+                    died.push(name.clone());
+                }
+            }
+        }
+        for name in died {
+            if let Some(peer) = self.peers.get_mut(&name) {
+                peer.status = Status::Dead { since: now };
+            }
+            self.changes.push(Change::Died(name));
+        }
+        let forget = self.pace.forget;
+        self.peers.retain(|_, peer| match peer.status {
+            Status::Dead { since } | Status::Left { since } => now - since < forget,
+            _ => true,
+        });
+    }
+
+    fn start_probe(&mut self, now: Point) {
+        let target = loop {
+            let next = match self.urgent.pop_front().or_else(|| self.turn.pop()) {
+                Some(next) => next,
+                None => {
+                    self.turn =
+                        self.peers.iter().filter(|(_, p)| p.lives()).map(|(n, _)| n.clone()).collect();
+                    self.turn.shuffle(&mut self.chance);
+                    match self.turn.pop() {
+                        Some(next) => next,
+                        None => return,
+                    }
+                }
+            };
+            if self.peers.get(&next).is_some_and(Peer::lives) {
+                break next;
+            }
+        };
+        let nonce = self.nonce();
+        let ends = now + self.slowed(self.pace.period);
+        self.acts.push(Act::Ping { to: target.clone(), nonce });
+        self.probe = Some(Probe { target, nonce, stage: Stage::Direct, began: now, ends });
+    }
+
+    fn ask_others(&mut self, probe: &Probe) {
+        let able = self.peers.iter().filter(|(n, p)| **n != probe.target && p.status == Status::Alive);
+        let mut able: Vec<String> = able.map(|(name, _)| name.clone()).collect();
+        able.shuffle(&mut self.chance);
+        for helper in able.into_iter().take(HELPERS) {
+            let act = Act::PingReq { to: helper, target: probe.target.clone(), nonce: probe.nonce };
+            self.acts.push(act);
+        }
+        if let Some(probe) = &mut self.probe {
+            probe.stage = Stage::Indirect;
+        }
+    }
+
+    /// Calls on a member that counts as dead, so that a partition heals from both sides; else on a living one, so
+    /// that what rumours missed comes round.
+    fn heal(&mut self, _now: Point) {
+        let pick = |dead: bool, chance: &mut StdRng, peers: &BTreeMap<String, Peer>| {
+            let is = |p: &Peer| if dead { matches!(p.status, Status::Dead { .. }) } else { p.lives() };
+            let names: Vec<&String> = peers.iter().filter(|(_, p)| is(p)).map(|(name, _)| name).collect();
+            (!names.is_empty()).then(|| names[chance.random_range(0..names.len())].clone())
+        };
+        for dead in [true, false] {
+            if let Some(to) = pick(dead, &mut self.chance, &self.peers) {
+                self.acts.push(Act::Sync { to });
+            }
+        }
+    }
+
+    /// This instance's own probes went unanswered.
+    fn accuse(&mut self, now: Point, name: &str) {
+        let me = self.me.clone();
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let incarnation = peer.record.incarnation;
+        let fresh = match &mut peer.status {
+            Status::Alive => {
+                let others = std::mem::take(&mut peer.accusers).into_keys();
+                let accusers = others.chain([me.clone()]).collect();
+                peer.status = Status::Suspect { since: now, accusers };
+                self.changes.push(Change::Suspected(name.to_owned()));
+                true
+            }
+            Status::Suspect { accusers, .. } => accusers.insert(me.clone()),
+            _ => false,
+        };
+        if fresh {
+            let suspicion =
+                Suspicion { accuser: me, name: name.to_owned(), incarnation, signature: Vec::new() };
+            self.pass_on(Rumour::Suspicion(suspicion));
+        }
+    }
+
+    /// A member accuses another, by its own signature.
+    pub fn accused(&mut self, now: Point, suspicion: &Suspicion) {
+        if suspicion.name == self.me {
+            // Said of an incarnation that was answered already, or of none that there ever was.
+            let current = suspicion.incarnation == self.record.incarnation;
+            if current && self.refuted.is_none_or(|at| now - at >= REFUTE_EVERY) {
+                self.refute(now, suspicion.incarnation);
+            }
+            return;
+        }
+        if suspicion.accuser == self.me {
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&suspicion.name) else { return };
+        // A refuted suspicion never comes back: it is of an incarnation that is past.
+        if suspicion.incarnation != peer.record.incarnation {
+            return;
+        }
+        match &mut peer.status {
+            Status::Alive => {
+                let new = peer.accusers.insert(suspicion.accuser.clone(), now).is_none();
+                let enough = peer.accusers.len() >= ACCUSERS_LEAST;
+                let heard = peer.heard.is_some_and(|at| now - at < self.pace.period * 2.0);
+                if enough && !heard {
+                    let accusers = std::mem::take(&mut peer.accusers).into_keys().collect();
+                    peer.status = Status::Suspect { since: now, accusers };
+                    self.changes.push(Change::Suspected(suspicion.name.clone()));
+                }
+                if new {
+                    self.look_at(&suspicion.name);
+                    self.pass_on(Rumour::Suspicion(suspicion.clone()));
+                }
+            }
+            Status::Suspect { accusers, .. } => {
+                if accusers.insert(suspicion.accuser.clone()) {
+                    self.pass_on(Rumour::Suspicion(suspicion.clone()));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Probes a member out of turn.
+    fn look_at(&mut self, name: &str) {
+        if self.urgent.len() < URGENT_MOST && !self.urgent.iter().any(|urgent| urgent == name) {
+            self.urgent.push_back(name.to_owned());
+        }
+    }
+
+    /// Says that it lives, at an incarnation that outdoes what was said of it.
+    fn refute(&mut self, now: Point, said: u64) {
+        self.refuted = Some(now);
+        self.record.incarnation = self.record.incarnation.max(said).saturating_add(1);
+        self.unsigned = true;
+        // Others accuse it: it may be the slow one.
+        self.health = (self.health + 1).min(HEALTH_MOST);
+    }
+
+    /// The own record, signed, is to be passed on.
+    pub fn signed(&mut self, signature: Vec<u8>) {
+        self.record.signature = signature;
+        self.unsigned = false;
+        self.pass_on(Rumour::Record(self.record.clone()));
+    }
+
+    /// A member's record of itself, whose signature was verified.
+    pub fn learn(&mut self, now: Point, record: &Record) {
+        if record.name == self.me {
+            // An earlier life of this instance, perhaps: its next incarnation outdoes it.
+            if record.incarnation > self.record.incarnation || record.left && !self.record.left {
+                self.refute(now, record.incarnation);
+            }
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&record.name) else {
+            if self.peers.len() < MEMBERS_MOST && !record.left {
+                let peer = Peer {
+                    record: record.clone(),
+                    status: Status::Alive,
+                    heard: None,
+                    accusers: BTreeMap::new(),
+                };
+                self.peers.insert(record.name.clone(), peer);
+                let place = self.chance.random_range(0..=self.turn.len());
+                self.turn.insert(place, record.name.clone());
+                self.changes.push(Change::Joined(record.name.clone()));
+                self.pass_on(Rumour::Record(record.clone()));
+            }
+            return;
+        };
+        let known = &peer.record;
+        let newer = record.incarnation > known.incarnation
+            || record.incarnation == known.incarnation && record.left && !known.left;
+        if !newer {
+            return;
+        }
+        peer.record = record.clone();
+        peer.accusers.clear();
+        let before = std::mem::replace(&mut peer.status, Status::Alive);
+        if record.left {
+            peer.status = Status::Left { since: now };
+            self.changes.push(Change::Left(record.name.clone()));
+        } else if before != Status::Alive {
+            self.changes.push(Change::Returned(record.name.clone()));
+        }
+        let (gone, name) = (record.name.clone(), record.name.clone());
+        self.rumours.retain(|_, (rumour, _)| !matches!(rumour, Rumour::Suspicion(s) if s.name == gone));
+        if !record.left && !self.turn.contains(&name) {
+            let place = self.chance.random_range(0..=self.turn.len());
+            self.turn.insert(place, name);
+        }
+        self.pass_on(Rumour::Record(record.clone()));
+    }
+
+    /// A fresh word from a member itself, whatever it says: it lives and reaches this instance. For this instance
+    /// that ends a suspicion or a death; what others think is theirs to find out.
+    pub fn heard(&mut self, now: Point, from: &str) {
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        peer.heard = Some(now);
+        if matches!(peer.status, Status::Suspect { .. } | Status::Dead { .. }) {
+            peer.status = Status::Alive;
+            self.changes.push(Change::Returned(from.to_owned()));
+            // Where others bury it, it must hear of that to answer.
+        }
+        peer.accusers.clear();
+    }
+
+    pub fn ping(&mut self, from: &str, nonce: u64) {
+        self.acts.push(Act::Ack { to: from.to_owned(), nonce });
+    }
+
+    pub fn ping_req(&mut self, now: Point, from: &str, target: &str, nonce: u64) {
+        if target == self.me {
+            return self.ping(from, nonce);
+        }
+        if self.peers.contains_key(target) && self.errands.len() < URGENT_MOST {
+            let own = self.nonce();
+            self.errands.insert(own, (from.to_owned(), nonce, now));
+            self.acts.push(Act::Ping { to: target.to_owned(), nonce: own });
+        }
+    }
+
+    pub fn ack(&mut self, from: &str, nonce: u64) {
+        if let Some((asker, theirs, _)) = self.errands.remove(&nonce) {
+            self.acts.push(Act::Ack { to: asker, nonce: theirs });
+        }
+        let _ = from;
+        if self.probe.as_ref().is_some_and(|probe| probe.nonce == nonce) {
+            // Answered in time, directly or by way of another: this instance is not slow.
+            self.health = self.health.saturating_sub(1);
+            let target = self.probe.take().map(|probe| probe.target);
+            if let Some(peer) = target.and_then(|target| self.peers.get_mut(&target)) {
+                if matches!(peer.status, Status::Suspect { .. }) {
+                    peer.status = Status::Alive;
+                }
+            }
+        }
+    }
+
+    /// Says goodbye: an instance that stops by itself is not missed.
+    pub fn leave(&mut self) {
+        self.record.left = true;
+        self.unsigned = true;
+    }
+
+    fn pass_on(&mut self, rumour: Rumour) {
+        let key = match &rumour {
+            Rumour::Record(record) => (true, record.name.clone()),
+            // One rumour a suspect: whose word it is matters less than that it is looked at.
+            Rumour::Suspicion(suspicion) => (false, format!("{} {}", suspicion.name, suspicion.accuser)),
+        };
+        if self.rumours.len() >= RUMOURS_MOST && !self.rumours.contains_key(&key) {
+            let oldest = self.rumours.iter().max_by_key(|(_, (_, sent))| *sent).map(|(key, _)| key.clone());
+            oldest.map(|key| self.rumours.remove(&key));
+        }
+        self.rumours.insert(key, (rumour, 0));
+    }
+
+    /// The next rumours to pass on, the least spread first, as long as `take` says that they fit. Each is passed
+    /// on a bounded number of times.
+    pub fn spread(&mut self, mut take: impl FnMut(&Rumour) -> bool) {
+        let most = (SPREAD * self.logarithm()).ceil() as u32;
+        let mut order: Vec<((bool, String), u32)> =
+            self.rumours.iter().map(|(key, (_, sent))| (key.clone(), *sent)).collect();
+        order.sort_by_key(|(_, sent)| *sent);
+        for (key, _) in order.into_iter().take(16) {
+            let Some((rumour, sent)) = self.rumours.get_mut(&key) else { continue };
+            if !take(rumour) {
+                continue;
+            }
+            *sent += 1;
+            if *sent >= most {
+                self.rumours.remove(&key);
+            }
+        }
+    }
+
+    /// Records to hand over in a sync: the own one, then some drawn at random.
+    pub fn some_records(&mut self, most: usize) -> Vec<Record> {
+        let mut names: Vec<&String> =
+            self.peers.iter().filter(|(_, p)| p.lives()).map(|(name, _)| name).collect();
+        names.shuffle(&mut self.chance);
+        let others = names.into_iter().take(most).map(|name| self.peers[name].record.clone());
+        [self.record.clone()].into_iter().chain(others).collect()
+    }
+
+    /// What this instance holds against a member, so that it can answer: unsigned.
+    pub fn charge(&self, name: &str) -> Option<Suspicion> {
+        let peer = self.peers.get(name)?;
+        let bad = matches!(peer.status, Status::Suspect { .. } | Status::Dead { .. });
+        bad.then(|| Suspicion {
+            accuser: self.me.clone(),
+            name: name.to_owned(),
+            incarnation: peer.record.incarnation,
+            signature: Vec::new(),
+        })
+    }
+}
+
+impl Peer {
+    /// Alive as far as is known; a suspect is until its time is over.
+    pub fn lives(&self) -> bool {
+        matches!(self.status, Status::Alive | Status::Suspect { .. })
+    }
+}
--- /dev/null
+++ b/crates/lemontide-gossip/src/node.rs
@@ -0,0 +1,657 @@
+//! One instance's gossip, whole: bytes in, bytes out. Checks what comes in from the cheapest check to the dearest,
+//! keeps to the budget, and gives what is believed of streamers.
+
+use crate::belief::{Belief, Taken};
+use crate::budget::{Bytes, Need, Rates};
+use crate::evidence::Evidence;
+use crate::keys::{Gate, Networks, Own, Ring, Stale};
+use crate::membership::{Act, Change, Membership, Pace, Rumour, Status};
+use crate::message::{
+    self, Ack, Body, Challenge, Datagram, Kind, Ping, PingReq, Record, Signed, Suspicion, Sync, Testimony,
+    LARGEST,
+};
+use lemontide::clock::{Point, Span};
+use prost::Message;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Room in a datagram beside its body.
+const OUTER: usize = 64 + NAME_ROOM + 40;
+const NAME_ROOM: usize = message::NAME_MOST;
+/// A testimony is made at most this often, and passed on this often by each who hears it.
+const TELL_EVERY: Span = Span::of_millis(500);
+const TELL_AGAIN: Span = Span::of_millis(4000);
+const TESTIMONY_SPREAD: f64 = 3.0;
+const TESTIMONIES_MOST: usize = 4096;
+/// Messages a second from one member, and from one address that is no known member.
+const MEMBER_RATE: u32 = 60;
+const STRANGER_RATE: u32 = 20;
+/// Records in one sync beside the own.
+const SYNC_RECORDS: usize = 4;
+
+/// What an instance is told at its start.
+pub struct Terms {
+    pub name: String,
+    pub address: SocketAddr,
+    pub own: Own,
+    pub ring: Ring,
+    pub networks: Networks,
+    /// Where others may be found at first.
+    pub seeds: Vec<SocketAddr>,
+    pub pace: Pace,
+    /// Bytes that may leave in any second.
+    pub bytes_per_s: usize,
+    /// Tells this process from earlier ones: the wall clock at its start will do.
+    pub boot: u64,
+    pub seed: u64,
+}
+
+/// Datagrams dropped, by cause.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dropped {
+    pub network: u64,
+    pub rate: u64,
+    pub malformed: u64,
+    pub unknown_sender: u64,
+    pub unsigned: u64,
+    pub replayed: u64,
+    pub out_of_time: u64,
+    /// Passed-on words whose own signature failed.
+    pub forged: u64,
+    pub equivocated: u64,
+    /// Not sent for want of budget.
+    pub over_budget: u64,
+}
+
+/// A member as operators see it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Member {
+    pub name: String,
+    pub address: String,
+    pub incarnation: u64,
+    pub status: String,
+    /// Seconds since it was heard itself.
+    pub heard_s: Option<f64>,
+    /// Trust in its words of streamers, from 0 to 1; absent while it has said nothing lately.
+    pub trust: Option<f64>,
+}
+
+/// All of it as operators see it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct View {
+    pub name: String,
+    pub members: Vec<Member>,
+    /// How far others' words of streamers are believed, where they are.
+    pub suspicions: BTreeMap<String, f64>,
+    pub health: u32,
+    pub bytes_last_s: usize,
+    pub bytes_per_s: usize,
+    pub bytes_sent: u64,
+    pub datagrams_sent: u64,
+    pub datagrams_taken: u64,
+    pub signatures_checked: u64,
+    pub dropped: Dropped,
+}
+
+pub struct Node {
+    terms: Terms,
+    pub members: Membership,
+    evidence: Evidence,
+    belief: Belief,
+    gate: Gate,
+    budget: Bytes,
+    by_member: Rates<(String, std::net::IpAddr)>,
+    by_address: Rates<std::net::IpAddr>,
+    testimonies: BTreeMap<String, (Testimony, u32)>,
+    own_seq: u64,
+    told: Option<(Point, Vec<message::Seen>)>,
+    seq: u64,
+    /// Strangers that were not answered by anybody yet: who to greet again.
+    next_join: Point,
+    greeted: BTreeMap<SocketAddr, Point>,
+    pub dropped: Dropped,
+    bytes_sent: u64,
+    datagrams_sent: u64,
+    datagrams_taken: u64,
+    signatures_checked: u64,
+    /// Datagrams to be sent.
+    pub outbox: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+impl Node {
+    pub fn new(now: Point, terms: Terms) -> Node {
+        let address = terms.address.to_string();
+        let members = Membership::new(now, terms.pace, &terms.name, &address, terms.seed);
+        Node {
+            members,
+            evidence: Evidence::default(),
+            belief: Belief::default(),
+            gate: Gate::default(),
+            budget: Bytes::new(terms.bytes_per_s),
+            by_member: Rates::new(MEMBER_RATE),
+            by_address: Rates::new(STRANGER_RATE),
+            testimonies: BTreeMap::new(),
+            own_seq: 0,
+            told: None,
+            seq: 0,
+            next_join: now,
+            greeted: BTreeMap::new(),
+            dropped: Dropped::default(),
+            bytes_sent: 0,
+            datagrams_sent: 0,
+            datagrams_taken: 0,
+            signatures_checked: 0,
+            outbox: Vec::new(),
+            terms,
+        }
+    }
+
+    /// When `tick` wants to be called next.
+    pub fn next(&self) -> Point {
+        let tell = self.told.as_ref().map_or(self.next_join, |(at, _)| *at + TELL_EVERY);
+        self.members.next().min(self.next_join).min(tell)
+    }
+
+    /// Takes other keys into use: the operator changed the list while this runs.
+    pub fn set_keys(&mut self, own: Own, ring: Ring) {
+        self.terms.own = own;
+        self.terms.ring = ring;
+        // Records and words under keys that are gone must not be passed on.
+        self.members.unsigned = true;
+        self.testimonies.clear();
+        let gone: Vec<String> = self
+            .members
+            .peers()
+            .map(|(name, _)| name.clone())
+            .filter(|name| !self.terms.ring.knows(name))
+            .collect();
+        gone.iter().for_each(|name| self.gate.forget(name));
+    }
+
+    /// This instance saw a try at a streamer end well or badly.
+    pub fn saw(&mut self, now: Point, streamer: &str, good: bool) {
+        self.evidence.saw(now, streamer, good);
+        self.belief.saw(now, streamer, good);
+    }
+
+    /// How far to believe that each streamer fails, from 0 to 1; those not named are not suspected.
+    pub fn weights(&self, now: Point) -> BTreeMap<String, f64> {
+        self.belief.weights(now, &self.evidence)
+    }
+
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.members.changes)
+    }
+
+    /// Enters members as known and alive, as after a long time together; for measurements at large sizes.
+    pub fn preload(&mut self, now: Point, records: &[Record], boots: &BTreeMap<String, u64>) {
+        for record in records {
+            self.members.learn(now, record);
+            if let Some(boot) = boots.get(&record.name) {
+                let nonce = self.gate.challenge(now, &record.name, 1).unwrap_or(1);
+                self.gate.proven(now, &record.name, *boot, 0, nonce, now);
+            }
+        }
+        self.members.spread(|_| false);
+        self.members.changes.clear();
+    }
+
+    /// The own record, signed; for preloading others.
+    pub fn own_record(&mut self) -> Record {
+        self.sign_record();
+        self.members.record.clone()
+    }
+
+    fn sign_record(&mut self) {
+        if self.members.unsigned {
+            let signature = self.terms.own.sign(&self.members.record);
+            self.members.signed(signature);
+        }
+    }
+
+    /// Regular work: probes, greetings of seeds, the own testimony.
+    pub fn tick(&mut self, now: Point) {
+        self.members.tick(now);
+        self.sign_record();
+        if now >= self.next_join {
+            self.next_join = now + Span::of_millis(1000);
+            self.join(now);
+        }
+        self.testify(now);
+        self.act(now);
+    }
+
+    /// Says goodbye to some members; they pass it on.
+    pub fn leave(&mut self, now: Point) {
+        self.members.leave();
+        self.sign_record();
+        let to: Vec<String> =
+            self.members.peers().filter(|(_, p)| p.lives()).map(|(n, _)| n.clone()).take(4).collect();
+        for name in to {
+            let kind = Kind::Sync(Sync { answer_me: false, digest: self.members.digest() });
+            let record = self.members.record.clone();
+            self.send_to(now, &name, kind, Need::Answer, vec![record], Vec::new());
+        }
+    }
+
+    /// Greets the seeds while hardly anybody is known, and now and then ever after: a partition of seeds heals.
+    fn join(&mut self, now: Point) {
+        let lonely = self.members.alive() <= 1;
+        for seed in self.terms.seeds.clone() {
+            let known = self.members.peers().any(|(_, p)| p.lives() && p.record.address == seed.to_string());
+            let rest = if lonely { Span::of_millis(1000) } else { Span::of_millis(10_000) };
+            let due = self.greeted.get(&seed).is_none_or(|at| now - *at >= rest);
+            if seed != self.terms.address && !known && due {
+                self.greeted.insert(seed, now);
+                let kind = Kind::Sync(Sync { answer_me: true, digest: self.members.digest() });
+                let record = self.members.record.clone();
+                self.send(now, seed, kind, Need::Plain, vec![record], Vec::new());
+            }
+        }
+    }
+
+    /// Says what was seen here, when it changed, or again after a while so that it does not fade.
+    fn testify(&mut self, now: Point) {
+        let seen = self.evidence.tell(now);
+        if let Some((at, last)) = &self.told {
+            let again = !seen.is_empty() && now - *at >= TELL_AGAIN;
+            if now - *at < TELL_EVERY || seen == *last && !again {
+                return;
+            }
+        } else if seen.is_empty() {
+            return;
+        }
+        self.own_seq += 1;
+        let mut said = Testimony {
+            origin: self.terms.name.clone(),
+            boot: self.terms.boot,
+            seq: self.own_seq,
+            seen: seen.clone(),
+            signature: Vec::new(),
+        };
+        said.signature = self.terms.own.sign(&said);
+        self.told = Some((now, seen));
+        self.testimonies.insert(said.origin.clone(), (said, 0));
+    }
+
+    /// Says something of streamers that was not seen here: a liar, for tests and measurements only.
+    pub fn lie(&mut self, seen: Vec<message::Seen>) {
+        self.own_seq += 1;
+        let mut said = Testimony {
+            origin: self.terms.name.clone(),
+            boot: self.terms.boot,
+            seq: self.own_seq,
+            seen,
+            signature: Vec::new(),
+        };
+        said.signature = self.terms.own.sign(&said);
+        self.testimonies.insert(said.origin.clone(), (said, 0));
+    }
+
+    /// Accuses a member of being dead: a liar's word again.
+    pub fn slander(&mut self, now: Point, name: &str) {
+        let Some(peer) = self.members.peer(name) else { return };
+        let mut suspicion = Suspicion {
+            accuser: self.terms.name.clone(),
+            name: name.to_owned(),
+            incarnation: peer.record.incarnation,
+            signature: Vec::new(),
+        };
+        suspicion.signature = self.terms.own.sign(&suspicion);
+        let to: Vec<String> = self.members.peers().map(|(name, _)| name.clone()).take(6).collect();
+        for to in to {
+            let kind = Kind::Sync(Sync { answer_me: false, digest: 0 });
+            self.send_to(now, &to, kind, Need::Answer, Vec::new(), vec![suspicion.clone()]);
+        }
+    }
+
+    /// Takes a datagram as it came.
+    pub fn receive(&mut self, now: Point, from: SocketAddr, bytes: &[u8]) {
+        if !self.terms.networks.admit(from.ip()) {
+            self.dropped.network += 1;
+            return;
+        }
+        let Some(datagram) = message::outer(bytes) else {
+            self.dropped.malformed += 1;
+            return;
+        };
+        if !self.terms.ring.knows(&datagram.sender) || datagram.sender == self.terms.name {
+            self.dropped.unknown_sender += 1;
+            return;
+        }
+        // A flood under one name must not shut out others, nor a flood from strangers the members.
+        let admitted = match self.gate.boot(&datagram.sender) {
+            Some(boot) if boot == datagram.boot => {
+                self.by_member.admits(now, &(datagram.sender.clone(), from.ip()))
+            }
+            _ => self.by_address.admits(now, &from.ip()) || self.members.alive() <= 1,
+        };
+        if !admitted {
+            self.dropped.rate += 1;
+            return;
+        }
+        let new = self.gate.may_be_new(&datagram.sender, datagram.boot, datagram.seq);
+        if new == Err(Stale::Replayed) {
+            self.dropped.replayed += 1;
+            return;
+        }
+        self.signatures_checked += 1;
+        let Some(voice) = self.terms.ring.voice(&datagram.sender, &datagram, &datagram.signature) else {
+            self.dropped.unsigned += 1;
+            return;
+        };
+        let Some(body) = message::body(&datagram.body) else {
+            self.dropped.malformed += 1;
+            return;
+        };
+        let time = Point::at(body.time_ms as f64 / 1e3);
+        let sender = datagram.sender.clone();
+        if new == Err(Stale::Unproven) {
+            return self.greet(now, from, &datagram, &body, time);
+        }
+        if self.gate.enter(now, &sender, datagram.seq, time).is_err() {
+            self.dropped.out_of_time += 1;
+            return;
+        }
+        let _ = voice;
+        self.take(now, &sender, body);
+    }
+
+    /// A process that is not known: it is asked to prove that it lives now; with the proof it is let in.
+    fn greet(&mut self, now: Point, from: SocketAddr, datagram: &Datagram, body: &Body, time: Point) {
+        let sender = &datagram.sender;
+        match &body.kind {
+            Some(Kind::Proof(proof))
+                if self.gate.proven(now, sender, datagram.boot, datagram.seq, proof.nonce, time) =>
+            {
+                self.take(now, sender, body.clone());
+            }
+            // Its challenge is answered though it is a stranger, or two strangers would wait for each other.
+            Some(Kind::Challenge(challenge)) => {
+                let kind = Kind::Proof(Challenge { nonce: challenge.nonce });
+                let record = self.members.record.clone();
+                self.send(now, from, kind, Need::Answer, vec![record], Vec::new());
+                self.challenge(now, from, sender);
+            }
+            _ => self.challenge(now, from, sender),
+        }
+    }
+
+    fn challenge(&mut self, now: Point, to: SocketAddr, sender: &str) {
+        let fresh = now.turn(Span::of_millis(1)) as u64 ^ self.seq.rotate_left(32) ^ self.terms.seed;
+        let nonce = fresh.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        if let Some(nonce) = self.gate.challenge(now, sender, nonce) {
+            let kind = Kind::Challenge(Challenge { nonce });
+            self.send(now, to, kind, Need::Answer, Vec::new(), Vec::new());
+        }
+    }
+
+    fn take(&mut self, now: Point, sender: &str, body: Body) {
+        self.datagrams_taken += 1;
+        for record in &body.records {
+            self.learn(now, record);
+        }
+        self.members.heard(now, sender);
+        for suspicion in &body.suspicions {
+            // What changes nothing is not worth a signature check.
+            let of_me = suspicion.name == self.terms.name;
+            let current = match self.members.peer(&suspicion.name) {
+                Some(peer) => peer.record.incarnation == suspicion.incarnation && peer.lives(),
+                None => of_me && suspicion.incarnation == self.members.record.incarnation,
+            };
+            if current && self.verified(&suspicion.accuser, suspicion, &suspicion.signature) {
+                self.members.accused(now, suspicion);
+            }
+        }
+        for said in &body.testimonies {
+            self.hear(now, said);
+        }
+        match body.kind {
+            Some(Kind::Ping(ping)) => self.members.ping(sender, ping.nonce),
+            Some(Kind::Ack(ack)) => self.members.ack(sender, ack.nonce),
+            Some(Kind::PingReq(ask)) => self.members.ping_req(now, sender, &ask.target, ask.nonce),
+            Some(Kind::Sync(sync)) if sync.answer_me => {
+                if sync.digest != self.members.digest() || self.members.alive() <= 2 {
+                    let kind = Kind::Sync(Sync { answer_me: false, digest: self.members.digest() });
+                    let records = self.members.some_records(SYNC_RECORDS);
+                    self.send_to(now, sender, kind, Need::Spare, records, Vec::new());
+                }
+            }
+            Some(Kind::Challenge(challenge)) => {
+                // The other side forgot this process, or never knew it.
+                let record = self.members.record.clone();
+                let kind = Kind::Proof(Challenge { nonce: challenge.nonce });
+                self.send_to(now, sender, kind, Need::Answer, vec![record], Vec::new());
+            }
+            _ => {}
+        }
+        self.sign_record();
+        self.act(now);
+    }
+
+    fn verified(&mut self, name: &str, signed: &impl Signed, signature: &[u8]) -> bool {
+        self.signatures_checked += 1;
+        let fine = self.terms.ring.voice(name, signed, signature).is_some();
+        if !fine {
+            self.dropped.forged += 1;
+        }
+        fine
+    }
+
+    fn learn(&mut self, now: Point, record: &Record) {
+        let known = match self.members.peer(&record.name) {
+            Some(peer) => {
+                record.incarnation < peer.record.incarnation
+                    || record.incarnation == peer.record.incarnation && record.left == peer.record.left
+            }
+            None => record.name == self.terms.name && record.incarnation <= self.members.record.incarnation,
+        };
+        let reachable =
+            record.address.parse::<SocketAddr>().is_ok_and(|at| self.terms.networks.admit(at.ip()));
+        if !known && reachable && self.verified(&record.name, record, &record.signature) {
+            self.members.learn(now, record);
+        }
+    }
+
+    fn hear(&mut self, now: Point, said: &Testimony) {
+        if said.origin == self.terms.name {
+            return;
+        }
+        // Words of a process that is gone are replays, whoever brings them.
+        if self.gate.boot(&said.origin).is_some_and(|boot| boot != said.boot) {
+            self.dropped.replayed += 1;
+            return;
+        }
+        let known = self.testimonies.get(&said.origin);
+        if known.is_some_and(|(known, _)| known == said || known.boot == said.boot && known.seq > said.seq) {
+            return;
+        }
+        self.signatures_checked += 1;
+        let Some(voice) = self.terms.ring.voice(&said.origin, said, &said.signature) else {
+            self.dropped.forged += 1;
+            return;
+        };
+        match self.belief.take(now, voice, said, said.covered()) {
+            Taken::New => {
+                if self.testimonies.len() < TESTIMONIES_MOST || self.testimonies.contains_key(&said.origin) {
+                    self.testimonies.insert(said.origin.clone(), (said.clone(), 0));
+                }
+            }
+            Taken::Equivocation => self.dropped.equivocated += 1,
+            Taken::Old => {}
+        }
+    }
+
+    fn act(&mut self, now: Point) {
+        for act in std::mem::take(&mut self.members.acts) {
+            match act {
+                Act::Ping { to, nonce } => {
+                    // One that is suspected must hear of it to answer.
+                    let charge = self.members.charge(&to).map(|mut charge| {
+                        charge.signature = self.terms.own.sign(&charge);
+                        charge
+                    });
+                    let kind = Kind::Ping(Ping { nonce });
+                    self.send_to(now, &to, kind, Need::Plain, Vec::new(), charge.into_iter().collect());
+                }
+                Act::Ack { to, nonce } => {
+                    let kind = Kind::Ack(Ack { nonce });
+                    self.send_to(now, &to, kind, Need::Answer, Vec::new(), Vec::new());
+                }
+                Act::PingReq { to, target, nonce } => {
+                    let kind = Kind::PingReq(PingReq { nonce, target });
+                    self.send_to(now, &to, kind, Need::Plain, Vec::new(), Vec::new());
+                }
+                Act::Sync { to } => {
+                    let charge = self.members.charge(&to).map(|mut charge| {
+                        charge.signature = self.terms.own.sign(&charge);
+                        charge
+                    });
+                    let kind = Kind::Sync(Sync { answer_me: true, digest: self.members.digest() });
+                    let records = self.members.some_records(SYNC_RECORDS);
+                    self.send_to(now, &to, kind, Need::Spare, records, charge.into_iter().collect());
+                }
+            }
+        }
+    }
+
+    fn send_to(
+        &mut self,
+        now: Point,
+        to: &str,
+        kind: Kind,
+        need: Need,
+        records: Vec<Record>,
+        suspicions: Vec<Suspicion>,
+    ) {
+        let address = self.members.address(to).and_then(|address| address.parse().ok());
+        if let Some(address) = address {
+            self.send(now, address, kind, need, records, suspicions);
+        }
+    }
+
+    /// Fills a datagram with what is to be passed on, as far as its size and the budget allow, and sends it.
+    fn send(
+        &mut self,
+        now: Point,
+        to: SocketAddr,
+        kind: Kind,
+        need: Need,
+        records: Vec<Record>,
+        suspicions: Vec<Suspicion>,
+    ) {
+        let strangers = matches!(kind, Kind::Challenge(_) | Kind::Proof(_));
+        let time_ms = ((now - Point::default()).seconds() * 1e3).max(0.0) as u64;
+        let mut body = Body { time_ms, kind: Some(kind), records, suspicions, testimonies: Vec::new() };
+        let mut size = body.encoded_len() + OUTER + self.terms.name.len();
+        if !self.budget_allows(now, need, size) {
+            return;
+        }
+        // What is passed on uses what spare messages may use, so that pings and answers always have room.
+        let mut room = self.budget.left(now, Need::Spare).min(LARGEST).saturating_sub(size);
+        if !strangers {
+            let own = &self.terms.own;
+            self.members.spread(|rumour| {
+                let rumour = match rumour {
+                    Rumour::Suspicion(s) if s.signature.is_empty() => {
+                        let mut signed = s.clone();
+                        signed.signature = own.sign(s);
+                        Rumour::Suspicion(signed)
+                    }
+                    other => other.clone(),
+                };
+                let len = 4 + match &rumour {
+                    Rumour::Record(record) => record.encoded_len(),
+                    Rumour::Suspicion(suspicion) => suspicion.encoded_len(),
+                };
+                if len > room {
+                    return false;
+                }
+                room -= len;
+                size += len;
+                match rumour {
+                    Rumour::Record(record) => body.records.push(record),
+                    Rumour::Suspicion(suspicion) => body.suspicions.push(suspicion),
+                }
+                true
+            });
+            self.pass_testimonies(&mut body, &mut room);
+        }
+        self.seq += 1;
+        let mut datagram = Datagram {
+            sender: self.terms.name.clone(),
+            boot: self.terms.boot,
+            seq: self.seq,
+            body: body.encode_to_vec(),
+            signature: Vec::new(),
+        };
+        datagram.signature = self.terms.own.sign(&datagram);
+        let bytes = datagram.encode_to_vec();
+        if !self.budget.take(now, Need::Answer, bytes.len()) {
+            self.dropped.over_budget += 1;
+            return;
+        }
+        self.bytes_sent += bytes.len() as u64;
+        self.datagrams_sent += 1;
+        self.outbox.push((to, bytes));
+    }
+
+    fn budget_allows(&mut self, now: Point, need: Need, size: usize) -> bool {
+        let fits = size <= self.budget.left(now, need);
+        if !fits {
+            self.dropped.over_budget += 1;
+        }
+        fits
+    }
+
+    fn pass_testimonies(&mut self, body: &mut Body, room: &mut usize) {
+        let most = (TESTIMONY_SPREAD * (self.members.alive() as f64 + 1.0).log2()).ceil() as u32;
+        let mut order: Vec<(&String, u32)> =
+            self.testimonies.iter().map(|(name, (_, sent))| (name, *sent)).collect();
+        order.retain(|(_, sent)| *sent < most);
+        order.sort_by_key(|(_, sent)| *sent);
+        let names: Vec<String> = order.into_iter().take(8).map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let Some((said, sent)) = self.testimonies.get_mut(&name) else { continue };
+            let len = said.encoded_len() + 4;
+            if len <= *room {
+                *room -= len;
+                *sent += 1;
+                body.testimonies.push(said.clone());
+            }
+        }
+    }
+
+    /// All of it for operators.
+    pub fn view(&mut self, now: Point) -> View {
+        let trusts: BTreeMap<String, f64> = self.belief.voices(now).into_iter().collect();
+        let members = self.members.peers().map(|(name, peer)| Member {
+            name: name.clone(),
+            address: peer.record.address.clone(),
+            incarnation: peer.record.incarnation,
+            status: match peer.status {
+                Status::Alive => "alive",
+                Status::Suspect { .. } => "suspect",
+                Status::Dead { .. } => "dead",
+                Status::Left { .. } => "left",
+            }
+            .to_owned(),
+            heard_s: peer.heard.map(|at| (now - at).seconds()),
+            trust: trusts.get(name).copied(),
+        });
+        View {
+            name: self.terms.name.clone(),
+            members: members.collect(),
+            suspicions: self.weights(now),
+            health: self.members.health,
+            bytes_last_s: self.budget.last_second(now),
+            bytes_per_s: self.terms.bytes_per_s,
+            bytes_sent: self.bytes_sent,
+            datagrams_sent: self.datagrams_sent,
+            datagrams_taken: self.datagrams_taken,
+            signatures_checked: self.signatures_checked,
+            dropped: self.dropped.clone(),
+        }
+    }
+}
