--- a/crates/lemontide-gossip/src/belief.rs
+++ b/crates/lemontide-gossip/src/belief.rs
@@ -272,12 +272,12 @@
         /// Order and repetition make no difference to what is believed, as long as nobody equivocates.
         #[test]
         fn words_merge_in_any_order(
-            words in proptest::collection::vec((0u8..6, 1u64..5, 0u32..3), 1..20),
+            words in proptest::collection::vec((0u8..6, 1u64..5), 1..20),
             order in any::<proptest::sample::Index>(),
         ) {
-            let testimony = |(origin, seq, failures): &(u8, u64, u32)| {
+            let testimony = |(origin, seq): &(u8, u64)| {
                 // What an origin says under a number is one thing.
-                said(*origin, *seq, &[("s", 3, (u32::from(*origin) + *seq as u32 + failures * 0) % 4)])
+                said(*origin, *seq, &[("s", 3, (u32::from(*origin) + *seq as u32) % 4)])
             };
             let mut one = Belief::default();
             words.iter().for_each(|w| { take(&mut one, at(0.0), w.0, &testimony(w)); });
--- a/crates/lemontide-gossip/src/evidence.rs
+++ b/crates/lemontide-gossip/src/evidence.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Half of what was seen has faded after so many seconds.
-const HALF_LIFE: f64 = 6.0;
+const HALF_LIFE: f64 = 4.0;
 /// Streamers that are remembered at most.
 const STREAMERS_MOST: usize = 4096;
 /// Less than this is not worth a word.
@@ -86,7 +86,7 @@
         }
         let told = evidence.tell(at(0.1));
         assert_eq!((told.len(), told[0].streamer.as_str(), told[0].failures), (SEEN_MOST, "s30", 1));
-        assert!((evidence.of(at(6.0), "s30").failures - 0.5).abs() < 1e-9);
+        assert!((evidence.of(at(4.0), "s30").failures - 0.5).abs() < 1e-9);
         assert!(evidence.tell(at(20.0)).is_empty());
         (0..2 * STREAMERS_MOST).for_each(|i| evidence.saw(at(30.0), &i.to_string(), true));
         assert!(evidence.of.len() <= STREAMERS_MOST);
--- a/crates/lemontide-gossip/src/membership.rs
+++ b/crates/lemontide-gossip/src/membership.rs
@@ -146,6 +146,7 @@
     next_probe: Point,
     next_heal: Point,
     refuted: Option<Point>,
+    heard_any: Option<Point>,
     pub health: u32,
     ticked: Point,
     nonce: u64,
@@ -174,6 +175,7 @@
             next_probe: first,
             next_heal: now + pace.heal * chance.random::<f64>(),
             refuted: None,
+            heard_any: None,
             health: 0,
             ticked: now,
             nonce: seed,
@@ -265,7 +267,10 @@
                 }
                 Stage::Indirect if now >= probe.ends => {
                     self.probe = None;
-                    self.health = (self.health + 1).min(HEALTH_MOST);
+                    // Who hears nobody else either is more likely cut off or slow itself.
+                    if self.heard_any.is_none_or(|at| at < probe.began) {
+                        self.health = (self.health + 1).min(HEALTH_MOST);
+                    }
                     self.accuse(now, &probe.target);
                 }
                 _ => {}
@@ -426,7 +431,8 @@
                 }
             }
             Status::Suspect { accusers, .. } => {
-                if accusers.insert(suspicion.accuser.clone()) {
+                let new = accusers.insert(suspicion.accuser.clone());
+                if new {
                     self.pass_on(Rumour::Suspicion(suspicion.clone()));
                 }
             }
@@ -511,6 +517,7 @@
     pub fn heard(&mut self, now: Point, from: &str) {
         let Some(peer) = self.peers.get_mut(from) else { return };
         peer.heard = Some(now);
+        self.heard_any = Some(now);
         if matches!(peer.status, Status::Suspect { .. } | Status::Dead { .. }) {
             peer.status = Status::Alive;
             self.changes.push(Change::Returned(from.to_owned()));
@@ -598,6 +605,12 @@
         [self.record.clone()].into_iter().chain(others).collect()
     }
 
+    /// As after a long time together: nothing is left to be passed on.
+    pub fn settle(&mut self) {
+        self.rumours.clear();
+        self.changes.clear();
+    }
+
     /// What this instance holds against a member, so that it can answer: unsigned.
     pub fn charge(&self, name: &str) -> Option<Suspicion> {
         let peer = self.peers.get(name)?;
--- a/crates/lemontide-gossip/src/node.rs
+++ b/crates/lemontide-gossip/src/node.rs
@@ -153,6 +153,11 @@
         self.members.next().min(self.next_join).min(tell)
     }
 
+    /// Begins as another process of the same instance.
+    pub fn set_boot(&mut self, boot: u64) {
+        self.terms.boot = boot;
+    }
+
     /// Takes other keys into use: the operator changed the list while this runs.
     pub fn set_keys(&mut self, own: Own, ring: Ring) {
         self.terms.own = own;
@@ -193,8 +198,7 @@
                 self.gate.proven(now, &record.name, *boot, 0, nonce, now);
             }
         }
-        self.members.spread(|_| false);
-        self.members.changes.clear();
+        self.members.settle();
     }
 
     /// The own record, signed; for preloading others.
@@ -412,7 +416,8 @@
             Some(Kind::Ack(ack)) => self.members.ack(sender, ack.nonce),
             Some(Kind::PingReq(ask)) => self.members.ping_req(now, sender, &ask.target, ask.nonce),
             Some(Kind::Sync(sync)) if sync.answer_me => {
-                if sync.digest != self.members.digest() || self.members.alive() <= 2 {
+                let differs = sync.digest != self.members.digest() || self.members.alive() <= 2;
+                if differs {
                     let kind = Kind::Sync(Sync { answer_me: false, digest: self.members.digest() });
                     let records = self.members.some_records(SYNC_RECORDS);
                     self.send_to(now, sender, kind, Need::Spare, records, Vec::new());
@@ -551,6 +556,10 @@
         // What is passed on uses what spare messages may use, so that pings and answers always have room.
         let mut room = self.budget.left(now, Need::Spare).min(LARGEST).saturating_sub(size);
         if !strangers {
+            // Neither news of members nor words of streamers may crowd the other out: when many join at once, the
+            // former would fill every datagram.
+            let mut kept = if self.testimonies_wait() { room / 2 } else { 0 };
+            room -= kept;
             let own = &self.terms.own;
             self.members.spread(|rumour| {
                 let rumour = match rumour {
@@ -576,7 +585,8 @@
                 }
                 true
             });
-            self.pass_testimonies(&mut body, &mut room);
+            kept += room;
+            self.pass_testimonies(&mut body, &mut kept);
         }
         self.seq += 1;
         let mut datagram = Datagram {
@@ -605,8 +615,18 @@
         fits
     }
 
+    /// How often each testimony is passed on.
+    fn testimony_most(&self) -> u32 {
+        (TESTIMONY_SPREAD * (self.members.alive() as f64 + 1.0).log2()).ceil() as u32
+    }
+
+    fn testimonies_wait(&self) -> bool {
+        let most = self.testimony_most();
+        self.testimonies.values().any(|(_, sent)| *sent < most)
+    }
+
     fn pass_testimonies(&mut self, body: &mut Body, room: &mut usize) {
-        let most = (TESTIMONY_SPREAD * (self.members.alive() as f64 + 1.0).log2()).ceil() as u32;
+        let most = self.testimony_most();
         let mut order: Vec<(&String, u32)> =
             self.testimonies.iter().map(|(name, (_, sent))| (name, *sent)).collect();
         order.retain(|(_, sent)| *sent < most);
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod player;
 pub mod run;
 pub mod streamer;
+pub mod town;
