--- a/crates/lemontide-cli/src/main.rs
+++ b/crates/lemontide-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod day;
 mod front;
+mod gossip;
 mod measure;
 mod tools;
 
@@ -29,6 +30,8 @@
 enum Command {
     /// Run one controller until it is told to stop.
     Front(front::Args),
+    /// What a controller's gossip knows: members, suspicions, trust, budget.
+    Gossip(gossip::Args),
     /// Run the stand-in streamers of a day and write the list that names them.
     Streamer(day::StreamerArgs),
     /// Days for the whole system, on loopback.
@@ -80,6 +83,7 @@
     }
     let outcome = match given.command {
         Command::Front(args) => front::run(&args),
+        Command::Gossip(args) => gossip::run(&args),
         Command::Streamer(args) => day::streamer(&args),
         Command::Day(command) => day::run(command),
         Command::Judge { taps, json } => tools::judge(&taps, json),
--- a/crates/lemontide-cli/src/measure/mod.rs
+++ b/crates/lemontide-cli/src/measure/mod.rs
@@ -2,14 +2,19 @@
 //! Speeds are told as ratios within one run and never decide the exit code.
 
 mod front;
+mod gossip;
 mod rig;
 
 use crate::Outcome;
 
+pub use rig::get;
+
 #[derive(clap::Subcommand)]
 pub enum What {
     /// What the controller costs over a constant answer by the same HTTP stack; memory and CPU at many sessions.
     Front(front::Args),
+    /// What gossip costs and brings: controllers with a liar among them, and large towns in virtual time.
+    Gossip(gossip::Args),
     /// Serve a constant answer; a baseline that `front` starts by itself.
     #[command(hide = true)]
     Constant,
@@ -18,6 +23,7 @@
 pub fn run(what: What) -> Outcome {
     match what {
         What::Front(args) => front::run(&args),
+        What::Gossip(args) => gossip::run(&args),
         What::Constant => rig::constant(),
     }
 }
--- a/crates/lemontide-cli/src/measure/rig.rs
+++ b/crates/lemontide-cli/src/measure/rig.rs
@@ -66,16 +66,24 @@
 
     /// A controller's own figures.
     pub fn state(&self) -> Result<State, Failed> {
-        let mut socket = TcpStream::connect(self.address)?;
-        socket.set_read_timeout(Some(Duration::from_secs(10)))?;
-        socket.write_all(b"GET /v1/state HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
-        let mut text = String::new();
-        socket.read_to_string(&mut text)?;
-        let body = text.split("\r\n\r\n").nth(1).ok_or("no body")?;
-        Ok(serde_json::from_str(body)?)
+        get(self.address, "/v1/state")
     }
 }
 
+/// What a controller says under a path.
+pub fn get<T: serde::de::DeserializeOwned>(from: SocketAddr, path: &str) -> Result<T, Failed> {
+    let mut socket = TcpStream::connect(from)?;
+    socket.set_read_timeout(Some(Duration::from_secs(10)))?;
+    socket.write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").as_bytes())?;
+    let mut text = String::new();
+    socket.read_to_string(&mut text)?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or("no answer in HTTP")?;
+    if !head.starts_with("HTTP/1.1 200") {
+        return Err(format!("{from}{path}: {}", head.lines().next().unwrap_or("")).into());
+    }
+    Ok(serde_json::from_str(body)?)
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/lemontide-front/src/core/driver.rs
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -69,6 +69,11 @@
         at: usize,
         dial: u64,
     },
+    /// A try at a streamer ended well or badly here: evidence for those who gossip.
+    Saw {
+        streamer: String,
+        good: bool,
+    },
     Tap(What),
 }
 
@@ -379,6 +384,25 @@
         }
     }
 
+    /// How far others are believed that each streamer fails, from 0 to 1. The module decides what to make of it.
+    pub fn doubts(&mut self, now: Point, weights: &[(String, f64)]) {
+        for (streamer, weight) in weights {
+            self.module.heard_of(now, streamer, *weight);
+        }
+    }
+
+    /// Tells of what was seen of a streamer, if it says anything of its health.
+    fn saw(&mut self, at: usize, ending: Ending) {
+        let good = match ending {
+            Ending::Served => true,
+            Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken => false,
+            Ending::SentBack | Ending::Cancelled | Ending::NotSent | Ending::Unknown => return,
+        };
+        if let Some(known) = self.known.get(at) {
+            self.effects.push(Effect::Saw { streamer: known.entry.streamer.clone(), good });
+        }
+    }
+
     // What the links report.
 
     /// A dial came through and the streamer said when it started.
@@ -417,6 +441,7 @@
             let on_it = |held: &Held| {
                 held.at == at && (held.playing || held.out.as_ref().is_some_and(|out| out.handed))
             };
+            self.saw(at, Ending::Broken);
             let broken: Vec<_> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
             for id in broken {
                 self.ended(now, id, Ending::Broken, Load::default());
@@ -457,6 +482,7 @@
                     how: tap::How::Served,
                 }));
                 handle.plays(&mut self.module, now);
+                self.saw(at, Ending::Served);
                 if load.link.is_some() || load.rack.is_some() {
                     handle.load(&mut self.module, now, load);
                 }
@@ -659,7 +685,11 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         held.out = None;
         held.last = Some(ending);
-        let (handle, playing, left) = (held.handle, held.playing, held.left);
+        let (handle, playing, left, at) = (held.handle, held.playing, held.left, held.at);
+        // Streams that end well say no more than their start did; one lost streamer is one failure, not hundreds.
+        if !playing {
+            self.saw(at, ending);
+        }
         handle.ended(&mut self.module, now, ending, playing, load);
         if playing || left {
             self.held.remove(&id);
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -2,6 +2,7 @@
 //! the deciding thread over two bounded queues, and what it decides goes out as effects.
 
 use crate::core::{seconds, Driver, Effect, Queued, Refusal};
+use crate::gossip::{self, Heard};
 use crate::http;
 use crate::link::{self, Dial, Links};
 use crate::list::{ListFile, Source};
@@ -85,6 +86,8 @@
         news: oneshot::Sender<Option<mpsc::Receiver<News>>>,
     },
     State(oneshot::Sender<State>),
+    /// What others are believed to know of streamers, by name and weight.
+    Doubts(Vec<(String, f64)>),
 }
 
 /// The controller in figures.
@@ -145,7 +148,14 @@
             dial_timeout: Duration::from_secs_f64(settings.links.dial_timeout_s),
             reports: reports.clone(),
         };
-        http::serve(listener, &settings, clock, wishes, reports, stopped.clone());
+        let (heard, asked_of_gossip) = match &settings.gossip {
+            Some(terms) => {
+                let (heard, views) = gossip::start(terms, clock, tap.clone(), seed, reports.clone()).await?;
+                (Some(heard), Some(views))
+            }
+            None => (None, None),
+        };
+        http::serve(listener, &settings, clock, wishes, reports, stopped.clone(), asked_of_gossip);
         let runtime = Handle::current();
         let stop_within = settings.limits.stop_s;
         let decides = std::thread::Builder::new().name("decides".into()).spawn(move || {
@@ -160,6 +170,7 @@
                 replies: HashMap::new(),
                 listeners: HashMap::new(),
                 wires: HashMap::new(),
+                heard,
                 spent: Duration::ZERO,
             };
             own.block_on(decider.run(reported, wished, stopped, stop_within));
@@ -182,6 +193,8 @@
     replies: HashMap<u32, oneshot::Sender<Result<Said, Refusal>>>,
     listeners: HashMap<u32, mpsc::Sender<News>>,
     wires: HashMap<usize, (mpsc::Sender<Vec<Queued>>, AbortHandle)>,
+    /// Where those who gossip hear what was seen here.
+    heard: Option<mpsc::Sender<Heard>>,
     spent: Duration,
 }
 
@@ -287,6 +300,7 @@
                 });
                 let _ = news.send(listens);
             }
+            Happened::Doubts(weights) => self.driver.doubts(now, &weights),
             Happened::State(reply) => {
                 let [plays, turned_back, scrapped] = self.driver.answered;
                 let _ = reply.send(State {
@@ -311,6 +325,12 @@
             for effect in std::mem::take(&mut self.driver.effects) {
                 match effect {
                     Effect::Tap(what) => self.links.tap.write(what),
+                    Effect::Saw { streamer, good } => {
+                        // Evidence that finds the queue full is left out: gossip is a help, never a duty.
+                        if let Some(heard) = &self.heard {
+                            let _ = heard.try_send(Heard { streamer, good });
+                        }
+                    }
                     Effect::Answer { id, answer, suggested_kbps, duress } => {
                         let Some(reply) = self.replies.remove(&id) else { continue };
                         if reply.send(Ok(Said { answer, suggested_kbps, duress })).is_err() {
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -12,6 +12,7 @@
 use futures::stream;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use lemontide_gossip::node::View;
 use lemontide_wire::clock::Clock;
 use lemontide_wire::cmcd::{self, Cmcd};
 use lemontide_wire::cmsd;
@@ -39,6 +40,7 @@
     /// The wait that a wish which can't be queued is told, in seconds; none where that is not allowed.
     retry_after: Option<f64>,
     live: Arc<Vec<String>>,
+    gossip: Option<mpsc::Sender<oneshot::Sender<View>>>,
 }
 
 /// Serves players until the listener fails for good or all is dropped.
@@ -49,6 +51,7 @@
     wishes: mpsc::Sender<Asked>,
     reports: mpsc::Sender<Happened>,
     stopped: watch::Receiver<bool>,
+    gossip: Option<mpsc::Sender<oneshot::Sender<View>>>,
 ) {
     let allowed = settings.retry_after.allowed && settings.retry_after.longest_s > 0.0;
     let live = settings.lanes.iter().filter(|lane| lane.live).map(|lane| lane.name.clone()).collect();
@@ -62,6 +65,7 @@
         request: Duration::from_secs_f64(settings.limits.request_s),
         retry_after: allowed.then_some(settings.retry_after.longest_s),
         live: Arc::new(live),
+        gossip,
     };
     let request = serving.request;
     let routes = Router::new()
@@ -69,6 +73,7 @@
         .route("/v1/subscriptions/{id}", delete(leave))
         .route("/v1/subscriptions/{id}/news", get(news))
         .route("/v1/state", get(figures))
+        .route("/v1/gossip", get(gossip_view))
         .with_state(serving);
     let stack = Stack { connections: settings.limits.connections, request };
     tokio::spawn(async move {
@@ -256,3 +261,13 @@
         _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
     }
 }
+
+async fn gossip_view(State(serving): State<Serving>) -> Response {
+    let Some(gossip) = serving.gossip else { return StatusCode::NOT_FOUND.into_response() };
+    let (reply, view) = oneshot::channel();
+    let sent = gossip.send(reply).await;
+    match (sent, view.await) {
+        (Ok(()), Ok(view)) => Json::<View>(view).into_response(),
+        _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
--- a/crates/lemontide-front/src/settings.rs
+++ b/crates/lemontide-front/src/settings.rs
@@ -51,6 +51,9 @@
     pub links: Links,
     #[serde(default)]
     pub limits: Limits,
+    /// Gossip with other controllers: absent, as it is by default, nothing is shared.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gossip: Option<Gossip>,
     /// Where this controller's end of every socket is written down, as JSON lines; nowhere when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tap: Option<PathBuf>,
@@ -197,6 +200,34 @@
     pub dial_timeout_s: f64,
 }
 
+/// Gossip with other controllers about who is there and which streamers fail.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Gossip {
+    /// This instance's name, one of `keys`.
+    pub name: String,
+    /// The UDP address that others reach it at.
+    pub listen: SocketAddr,
+    /// Others to greet at first.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The file with this instance's secret key: 64 hex digits. It is read again on SIGHUP, as `keys` is.
+    pub secret: PathBuf,
+    /// The file with all instances' public keys: an object of names to lists of 64 hex digits. While a key is
+    /// changed an instance has two.
+    pub keys: PathBuf,
+    /// Networks that datagrams may come from.
+    #[schemars(with = "Vec<String>")]
+    pub networks: Vec<ipnet::IpNet>,
+    /// Bytes that may leave in any second.
+    #[serde(default = "gossip_bytes")]
+    pub bytes_per_s: usize,
+}
+
+fn gossip_bytes() -> usize {
+    8 * 1024
+}
+
 /// Bounds of what one process takes on.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -260,6 +291,10 @@
         let folder = file.parent().unwrap_or(Path::new(""));
         settings.list = folder.join(&settings.list);
         settings.tap = settings.tap.map(|tap| folder.join(tap));
+        if let Some(gossip) = &mut settings.gossip {
+            gossip.secret = folder.join(&gossip.secret);
+            gossip.keys = folder.join(&gossip.keys);
+        }
         Ok(settings)
     }
 
@@ -339,6 +374,20 @@
                 "time-outs of dials, and of looks where allowed, are above 0 s",
             );
         }
+        if let Some(gossip) = &self.gossip {
+            if gossip.bytes_per_s < 4 * 1024 {
+                return wrong(
+                    "gossip.bytes_per_s",
+                    "under 4096 bytes a second pings don't get through; raise it",
+                );
+            }
+            if gossip.networks.is_empty() {
+                return wrong(
+                    "gossip.networks",
+                    "nobody may speak; list the networks of the other controllers",
+                );
+            }
+        }
         let limits = &self.limits;
         if limits.held == 0
             || limits.connections == 0
--- a/crates/lemontide-front/tests/common/mod.rs
+++ b/crates/lemontide-front/tests/common/mod.rs
@@ -181,7 +181,7 @@
                     }
                     Effect::Write { at, dial, orders } => self.write(at, dial, orders),
                     Effect::Hang { at, .. } => self.hung.push(at),
-                    Effect::Tap(_) => {}
+                    Effect::Tap(_) | Effect::Saw { .. } => {}
                 }
             }
         }
--- a/crates/lemontide-standin/src/day.rs
+++ b/crates/lemontide-standin/src/day.rs
@@ -55,6 +55,9 @@
     pub ration: Option<Ration>,
     pub links: Links,
     pub rules: Rules,
+    /// Controllers gossip, where this is there; the users' own share nothing.
+    #[serde(default)]
+    pub gossip: Option<DayGossip>,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
@@ -153,6 +156,16 @@
     pub started_s: f64,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DayGossip {
+    /// Bytes that may leave each controller in any second.
+    pub bytes_per_s: usize,
+    /// A member that calls every streamer failing and every other member dead.
+    #[serde(default)]
+    pub liar: bool,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Rules {
@@ -302,6 +315,7 @@
             ration: self.ration.clone(),
             links: self.links.clone(),
             limits: Limits { stop_s: 1.0, ..Limits::default() },
+            gossip: None,
             tap,
         }
     }
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod day;
 pub mod import;
 pub mod judge;
+pub mod liar;
 pub mod load;
 pub mod model;
 pub mod player;
--- a/crates/lemontide-standin/src/run.rs
+++ b/crates/lemontide-standin/src/run.rs
@@ -2,6 +2,7 @@
 //! troubles by the clock. Every end writes a tap into the day's folder.
 
 use crate::day::{Day, What};
+use crate::liar::{self, Gossips};
 use crate::player::{draw, Audience};
 use crate::streamer::{Fault, Fleet};
 use lemontide_wire::clock::Clock;
@@ -127,6 +128,7 @@
     list: List,
     audience: Arc<Audience>,
     controllers: Vec<Option<Child>>,
+    gossips: Option<Gossips>,
 }
 
 /// Runs a day to its end. Errors: the folder or sockets are not to be had, or a controller does not start.
@@ -154,12 +156,29 @@
     let there = day.streamers.iter().enumerate().filter(|(_, streamer)| !streamer.spare);
     let list = List { version: 1, streamers: there.map(entry).collect() };
     let controllers = day.controllers.iter().map(|_| None).collect();
-    let mut hand =
-        Stagehand { day: day.clone(), clock, how, tap, fleet, list, audience: audience.clone(), controllers };
+    let gossips = match &day.gossip {
+        Some(terms) => Some(Gossips::prepare(day.controllers.len(), terms, &how.folder)?),
+        None => None,
+    };
+    let mut hand = Stagehand {
+        day: day.clone(),
+        clock,
+        how,
+        tap,
+        fleet,
+        list,
+        audience: audience.clone(),
+        controllers,
+        gossips,
+    };
     hand.write_list()?;
     for number in 0..day.controllers.len() {
         hand.start(number).await?;
     }
+    if let (Some(gossips), Some(true)) = (&hand.gossips, day.gossip.as_ref().map(|terms| terms.liar)) {
+        let names = day.streamers.iter().map(|streamer| streamer.name.clone()).collect();
+        tokio::spawn(liar::lies(gossips.liar(clock).await?, names, clock));
+    }
     let viewers = draw(&day);
     let count = viewers.len();
     let opens = Instant::now();
@@ -231,8 +250,9 @@
     async fn start(&mut self, number: usize) -> io::Result<()> {
         let folder = &self.how.folder;
         let tap = folder.join(format!("controller-{number}.tap"));
-        let settings =
-            self.day.settings(number, &folder.join("list.json"), Some(tap), self.day.seed + number as u64);
+        let list = folder.join("list.json");
+        let mut settings = self.day.settings(number, &list, Some(tap), self.day.seed + number as u64);
+        settings.gossip = self.gossips.as_ref().map(|gossips| gossips.settings(number));
         let file = folder.join(format!("controller-{number}.json"));
         std::fs::write(&file, serde_json::to_vec_pretty(&settings)?)?;
         let log = std::fs::File::options()
--- a/crates/lemontide-standin/src/town.rs
+++ b/crates/lemontide-standin/src/town.rs
@@ -91,7 +91,8 @@
     format!("i{i}")
 }
 
-fn secret(i: usize) -> [u8; 32] {
+/// The secret key of the instance of that number.
+pub fn secret(i: usize) -> [u8; 32] {
     let mut secret = [7u8; 32];
     secret[..8].copy_from_slice(&(i as u64 + 1).to_be_bytes());
     secret
--- a/crates/lemontide-wire/src/tap.rs
+++ b/crates/lemontide-wire/src/tap.rs
@@ -94,6 +94,10 @@
         ask: String,
         shot: u32,
     },
+    /// Bytes of gossip that left in the last whole second.
+    Gossip {
+        bytes: usize,
+    },
     LinkLost {
         streamer: String,
     },
--- a/src/books.rs
+++ b/src/books.rs
@@ -78,6 +78,9 @@
     pub looked: Point,
     pub odds: f64,
     pub odds_at: Point,
+    /// What others say of it, as log odds, and when they said it.
+    pub hearsay: f64,
+    pub hearsay_at: Point,
     pub full_until: Point,
     /// The last turn at this streamer while it was cold, and own sends in it.
     pub turn: (i64, u32),
--- a/src/control.rs
+++ b/src/control.rs
@@ -46,6 +46,8 @@
 const CONDEMNED: f64 = 4.5;
 /// Odds fade by this much a second, so that a streamer is tried again with care.
 const FADE: f64 = 0.15;
+/// What others say of a streamer weighs so much at most: doubt, and with one own failure condemnation.
+const HEARSAY: f64 = 3.0;
 /// Part of the latency goal that a shot may take where another can follow it.
 const SHOT_PART: f64 = 0.45;
 /// Looks at holders without news before a first shot.
@@ -333,7 +335,7 @@
         let held = &self.held[place];
         let streamer = &self.streamers[at];
         let again = held.shots > 0 && held.streamer == at;
-        let odds = streamer.odds_now(now);
+        let odds = streamer.odds_now(now) + streamer.hearsay_now(now);
         let doubt = odds >= if self.lanes[held.lane].paid { DOUBTED / 2.0 } else { DOUBTED };
         let sound = odds < CONDEMNED && !(careful && (again || doubt));
         streamer.ready && sound && now >= streamer.full_until && streamer.my_turn(&self.rules, now)
@@ -570,6 +572,15 @@
         self.resume(now, |s| s.streamer == at);
     }
 
+    /// Others are believed, from 0 to 1, when they say that a streamer fails. It leans on the sequential test and
+    /// never condemns by itself: such a streamer comes after the rest, and is tried where there is no other.
+    pub fn heard_of(&mut self, now: Point, streamer: &str, weight: f64) {
+        let known = self.by_name.get(streamer).filter(|_| weight.is_finite());
+        if let Some(streamer) = known.map(|at| &mut self.streamers[*at]) {
+            (streamer.hearsay, streamer.hearsay_at) = (HEARSAY * weight.clamp(0.0, 1.0), now);
+        }
+    }
+
     /// Places again who waits for a look.
     fn resume(&mut self, now: Point, who: impl Fn(&Subscription) -> bool) {
         for place in 0..self.held.capacity() {
@@ -772,6 +783,14 @@
     fn weigh(&mut self, now: Point, step: f64) {
         self.odds = (self.odds_now(now) + step).clamp(0.0, 2.0 * CONDEMNED);
         self.odds_at = now;
+        // Own successes outweigh what others say. Symptom: a liar's streamer stays last although it serves.
+        if step < 0.0 {
+            self.hearsay *= 0.5;
+        }
+    }
+
+    fn hearsay_now(&self, now: Point) -> f64 {
+        (self.hearsay - FADE * (now - self.hearsay_at).seconds()).max(0.0)
     }
 
     fn odds_now(&self, now: Point) -> f64 {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -395,3 +395,42 @@
         .map(|first| sends.iter().filter(|t| *t >= first && (**t - *first).seconds() < 2.0).count());
     assert!((6..=12).contains(&most.max().unwrap_or(0)), "a window holds its budget, well used");
 }
+
+/// What others say brings doubt and never condemnation; an own success outweighs it, an own failure confirms it.
+#[test]
+fn hearsay_leans_and_never_condemns() {
+    let (mut on, now) = lone(&[]);
+    // Past the time in which a new controller holds back.
+    let now = now + seconds(20.0);
+    let mut next = 0;
+    let mut take = |on: &mut Controller, at: f64| {
+        next += 1;
+        on.results.clear();
+        let handle =
+            on.take(now + seconds(at), &wish(next, FREE, &format!("t{next}"), 0, now + seconds(at + 9.0)));
+        (handle, on.results.shots.first().map(|shot| shot.streamer.to_string()))
+    };
+    on.heard_of(now, "s0", f64::NAN);
+    on.heard_of(now, "nobody", 1.0);
+    ["s0", "s1"].iter().for_each(|s| on.heard_of(now, s, 1.0));
+    assert!(
+        (0..6).all(|i| take(&mut on, f64::from(i) / 10.0).1.as_deref() == Some("s2")),
+        "the others come last"
+    );
+    on.heard_of(now, "s2", 1.0);
+    let (shot, at) = take(&mut on, 0.7);
+    assert!(at.is_some(), "where all are doubted by others alone they are tried");
+    shot.plays(&mut on, now + seconds(0.8));
+    let at = at.unwrap_or_default();
+    assert!(
+        (0..3).all(|i| take(&mut on, 0.9 + f64::from(i) / 10.0).1.as_deref() == Some(&*at)),
+        "it plays here"
+    );
+    let (shot, _) = take(&mut on, 1.3);
+    ["s0", "s1", "s2"].iter().for_each(|s| on.heard_of(now + seconds(1.3), s, 1.0));
+    shot.ended(&mut on, now + seconds(1.4), Ending::Errored, true, Load::default());
+    assert!(
+        (0..3).all(|i| take(&mut on, 1.5 + f64::from(i) / 10.0).1.as_deref() != Some(&*at)),
+        "confirmed here"
+    );
+}
