--- a/crates/lemontide-cli/src/measure/gossip.rs
+++ b/crates/lemontide-cli/src/measure/gossip.rs
@@ -100,7 +100,7 @@
 /// Bytes a second in quiet, the time in which three voices reach everybody, and false deaths at two rates of loss.
 fn town(size: usize, seconds: f64, budget: usize) -> Value {
     // As much work for a large town as for a small one: so many instance-seconds.
-    let lasts = (seconds * 20.0 / size as f64).clamp(12.0, seconds);
+    let lasts = (seconds * 20.0 / size as f64).clamp(40.0, seconds);
     let plan = Plan { bytes_per_s: budget, acquainted: true, ..Plan::of(size) };
     let mut quiet = Town::new(plan.clone());
     quiet.pass(lasts);
--- a/crates/lemontide-cli/tests/program.rs
+++ b/crates/lemontide-cli/tests/program.rs
@@ -20,6 +20,18 @@
     assert!(text(&output).contains("none 0") && text(&output).contains("two 0"), "{}", text(&output));
 }
 
+#[test]
+fn a_short_day_with_gossip_and_a_liar_is_clean() {
+    let folder = tempfile::tempdir().expect("a folder is to be had");
+    let keep = folder.path().to_string_lossy().into_owned();
+    let output = lemontide(&["day", "run", "days/gossip-short.json", "--keep", &keep]);
+    assert!(output.status.success(), "{}", text(&output));
+    let tap = std::fs::read_to_string(folder.path().join("controller-0.tap")).expect("it is there");
+    assert!(tap.contains("\"what\":\"gossip\""), "datagrams left");
+    let output = lemontide(&["gossip", "127.0.0.1:1"]);
+    assert!(!output.status.success() && text(&output).contains("is it a controller"), "{}", text(&output));
+}
+
 #[test]
 fn a_fault_made_on_purpose_is_found_and_named() {
     let output = lemontide(&["day", "run", "days/quick-errors.json", "--fault", "duplicates"]);
--- a/crates/lemontide-gossip/src/membership.rs
+++ b/crates/lemontide-gossip/src/membership.rs
@@ -25,8 +25,12 @@
 /// Rumours in hand at most, and how often each is passed on: so many times the logarithm of the fleet's size.
 const RUMOURS_MOST: usize = 2048;
 const SPREAD: f64 = 3.0;
+/// Members that look for themselves when they hear an accusation, about.
+const LOOKERS: f64 = 8.0;
 /// An instance answers accusations at most this often.
 const REFUTE_EVERY: Span = Span::of_millis(300);
+/// A digest only steers what is exchanged and may be this old.
+const DIGEST_EVERY: Span = Span::of_millis(250);
 /// Probes asked for out of turn that wait at most.
 const URGENT_MOST: usize = 64;
 
@@ -148,6 +152,10 @@
     refuted: Option<Point>,
     heard_any: Option<Point>,
     pub health: u32,
+    doubting: bool,
+    size: usize,
+    /// The digest as last made, and when.
+    digested: (Point, u64),
     ticked: Point,
     nonce: u64,
     chance: StdRng,
@@ -177,6 +185,9 @@
             refuted: None,
             heard_any: None,
             health: 0,
+            doubting: false,
+            size: 1,
+            digested: (now, 0),
             ticked: now,
             nonce: seed,
             chance,
@@ -204,8 +215,12 @@
         1 + self.peers.values().filter(|peer| peer.lives()).count()
     }
 
-    /// The same for all who agree on who lives, and at which incarnation.
+    /// The same for all who agree on who lives, and at which incarnation; a moment old.
     pub fn digest(&self) -> u64 {
+        self.digested.1
+    }
+
+    fn digest_now(&self) -> u64 {
         let mut hasher = std::collections::hash_map::DefaultHasher::new();
         let mut living: Vec<(&str, u64)> = self
             .peers
@@ -230,8 +245,9 @@
         span * f64::from(1 + self.health)
     }
 
-    fn logarithm(&self) -> f64 {
-        (self.alive() as f64 + 1.0).log2().max(1.0)
+    /// Of the fleet's size as at the last tick: counted once, not with every datagram.
+    pub fn logarithm(&self) -> f64 {
+        (self.size as f64 + 1.0).log2().max(1.0)
     }
 
     /// How long a suspicion lasts before the member counts as dead: less the more accuse it.
@@ -256,6 +272,10 @@
         // An instance that stood still itself has missed its own acks: it doubts itself first.
         let gap = now - self.ticked;
         self.ticked = now;
+        self.size = self.alive();
+        if now - self.digested.0 >= DIGEST_EVERY || self.digested.1 == 0 {
+            self.digested = (now, self.digest_now());
+        }
         if gap > self.pace.period * 2.0 {
             self.stood_still(now, gap);
         }
@@ -323,6 +343,15 @@
     }
 
     fn start_probe(&mut self, now: Point) {
+        // Every other probe goes to one that is suspected here: a suspicion born of lost datagrams ends with the
+        // first answer, instead of waiting for the whole round.
+        self.doubting = !self.doubting;
+        let suspects = self.peers.iter().filter(|(_, peer)| matches!(peer.status, Status::Suspect { .. }));
+        let suspects: Vec<String> = suspects.map(|(name, _)| name.clone()).collect();
+        if self.doubting && !suspects.is_empty() {
+            let suspect = suspects[self.chance.random_range(0..suspects.len())].clone();
+            self.urgent.push_front(suspect);
+        }
         let target = loop {
             let next = match self.urgent.pop_front().or_else(|| self.turn.pop()) {
                 Some(next) => next,
@@ -426,7 +455,11 @@
                     self.changes.push(Change::Suspected(suspicion.name.clone()));
                 }
                 if new {
-                    self.look_at(&suspicion.name);
+                    // A few look for themselves, however large the fleet: where datagrams get lost, each look is
+                    // one more chance to accuse.
+                    if self.chance.random::<f64>() * self.size as f64 <= LOOKERS {
+                        self.look_at(&suspicion.name);
+                    }
                     self.pass_on(Rumour::Suspicion(suspicion.clone()));
                 }
             }
@@ -605,6 +638,14 @@
         [self.record.clone()].into_iter().chain(others).collect()
     }
 
+    /// Some living members, drawn at random.
+    pub fn draw(&mut self, most: usize) -> Vec<String> {
+        let mut names: Vec<&String> =
+            self.peers.iter().filter(|(_, p)| p.lives()).map(|(name, _)| name).collect();
+        names.shuffle(&mut self.chance);
+        names.into_iter().take(most).cloned().collect()
+    }
+
     /// As after a long time together: nothing is left to be passed on.
     pub fn settle(&mut self) {
         self.rumours.clear();
--- a/crates/lemontide-gossip/src/node.rs
+++ b/crates/lemontide-gossip/src/node.rs
@@ -23,6 +23,9 @@
 const TELL_EVERY: Span = Span::of_millis(500);
 const TELL_AGAIN: Span = Span::of_millis(4000);
 const TESTIMONY_SPREAD: f64 = 3.0;
+/// News of failures does not wait for the next probe: so many members are told at once, this often at most.
+const PUSH: usize = 2;
+const PUSH_EVERY: Span = Span::of_millis(150);
 const TESTIMONIES_MOST: usize = 4096;
 /// Messages a second from one member, and from one address that is no known member.
 const MEMBER_RATE: u32 = 60;
@@ -107,6 +110,9 @@
     own_seq: u64,
     told: Option<(Point, Vec<message::Seen>)>,
     seq: u64,
+    /// When news of failures is pushed next, and when it was last.
+    push_at: Option<Point>,
+    pushed: Point,
     /// Strangers that were not answered by anybody yet: who to greet again.
     next_join: Point,
     greeted: BTreeMap<SocketAddr, Point>,
@@ -135,6 +141,8 @@
             own_seq: 0,
             told: None,
             seq: 0,
+            push_at: None,
+            pushed: now,
             next_join: now,
             greeted: BTreeMap::new(),
             dropped: Dropped::default(),
@@ -150,7 +158,8 @@
     /// When `tick` wants to be called next.
     pub fn next(&self) -> Point {
         let tell = self.told.as_ref().map_or(self.next_join, |(at, _)| *at + TELL_EVERY);
-        self.members.next().min(self.next_join).min(tell)
+        let push = self.push_at.unwrap_or(tell);
+        self.members.next().min(self.next_join).min(tell).min(push)
     }
 
     /// Begins as another process of the same instance.
@@ -223,9 +232,28 @@
             self.join(now);
         }
         self.testify(now);
+        self.push(now);
         self.act(now);
     }
 
+    /// News of failures is due to be pushed, after what others push meanwhile has come.
+    fn hurry(&mut self, now: Point, said: &Testimony) {
+        if said.seen.iter().any(|seen| seen.failures * 2 >= seen.tries) {
+            self.push_at.get_or_insert((self.pushed + PUSH_EVERY).max(now));
+        }
+    }
+
+    fn push(&mut self, now: Point) {
+        if self.push_at.is_none_or(|at| now < at) {
+            return;
+        }
+        (self.push_at, self.pushed) = (None, now);
+        for name in self.members.draw(PUSH) {
+            let kind = Kind::Sync(Sync { answer_me: false, digest: self.members.digest() });
+            self.send_to(now, &name, kind, Need::Spare, Vec::new(), Vec::new());
+        }
+    }
+
     /// Says goodbye to some members; they pass it on.
     pub fn leave(&mut self, now: Point) {
         self.members.leave();
@@ -276,6 +304,7 @@
         };
         said.signature = self.terms.own.sign(&said);
         self.told = Some((now, seen));
+        self.hurry(now, &said);
         self.testimonies.insert(said.origin.clone(), (said, 0));
     }
 
@@ -479,6 +508,7 @@
         };
         match self.belief.take(now, voice, said, said.covered()) {
             Taken::New => {
+                self.hurry(now, said);
                 if self.testimonies.len() < TESTIMONIES_MOST || self.testimonies.contains_key(&said.origin) {
                     self.testimonies.insert(said.origin.clone(), (said.clone(), 0));
                 }
@@ -617,7 +647,7 @@
 
     /// How often each testimony is passed on.
     fn testimony_most(&self) -> u32 {
-        (TESTIMONY_SPREAD * (self.members.alive() as f64 + 1.0).log2()).ceil() as u32
+        (TESTIMONY_SPREAD * self.members.logarithm()).ceil() as u32
     }
 
     fn testimonies_wait(&self) -> bool {
