Shedding core: gauges, one level of load, whom to take; gossip weighs fresh words more

Change: crates/lemontide-shed without I/O, not yet used by the controller (gauges with age, a level that rises at once and falls in steps, admission by gain per cost with shares and spread waits); in gossip a word that all is well fades in 3 s.

--- a/crates/lemontide-gossip/src/belief.rs
+++ b/crates/lemontide-gossip/src/belief.rs
@@ -11,6 +11,8 @@
 /// Seconds after which a claim has lost two thirds of its weight, and after which it is dropped.
 const AGE: f64 = 8.0;
 const OLDEST: f64 = 30.0;
+/// A word that all is well is of its moment: a streamer that fails now served a few seconds ago.
+const WELL: f64 = 3.0;
 /// Voices that must say the same before anything is believed.
 const VOICES_LEAST: usize = 2;
 /// A streamer counts as claimed to fail from this part of failures on.
@@ -20,11 +22,11 @@
 const OWN_MOST: f64 = 4.0;
 /// A voice starts with the trust of one agreement in so many; disagreeing costs more than agreeing earns, and
 /// both fade with this half-life in seconds.
-const START: (f64, f64) = (1.0, 2.0);
-const LIE: f64 = 2.0;
+const START: (f64, f64) = (2.0, 3.0);
+const LIE: f64 = 3.0;
 const MEMORY: f64 = 300.0;
 /// Under this trust a voice is not listened to at all.
-const DEAF: f64 = 0.15;
+const DEAF: f64 = 0.2;
 /// Origins whose testimony is kept at most.
 const ORIGINS_MOST: usize = 4096;
 
@@ -156,13 +158,12 @@
             }
             for (streamer, (tries, failures)) in &claim.seen {
                 let failing = f64::from(*failures) / f64::from((*tries).max(1));
-                let weight = trust * (-age / AGE).exp();
                 let entry = said.entry(streamer).or_default().entry(claim.voice).or_insert((0.0, 0.0));
                 // Of several words under one voice the strongest counts, on either side.
                 if failing >= FAILING {
-                    entry.0 = entry.0.max(weight * failing);
+                    entry.0 = entry.0.max(trust * (-age / AGE).exp() * failing);
                 } else {
-                    entry.1 = entry.1.max(weight * (1.0 - failing));
+                    entry.1 = entry.1.max(trust * (-age / WELL).exp() * (1.0 - failing));
                 }
             }
         }
--- /dev/null
+++ b/crates/lemontide-shed/src/level.rs
@@ -0,0 +1,169 @@
+//! One level of load from all gauges: 0 is free, 1 is at the limit, above it the controller falls behind. The
+//! tightest gauge tells, and the way down is held so that a steady load does not swing it.
+
+use crate::gauge::Gauge;
+use lemontide::clock::{Point, Span};
+use serde::{Deserialize, Serialize};
+
+/// What a controller can run out of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// From an event's arrival to its turn at the deciding thread, over what is allowed.
+    Delay,
+    /// Wishes that wait, over their queue.
+    Queue,
+    /// CPU of the process over its allowance.
+    Cpu,
+    /// Resident memory over its limit.
+    Memory,
+    /// Wishes and subscriptions in hand over their limit.
+    Held,
+    /// Open files over their limit.
+    Files,
+}
+
+pub const ALL: [What; 6] = [What::Delay, What::Queue, What::Cpu, What::Memory, What::Held, What::Files];
+
+/// Shedding begins at this part of a limit, so that what is under way still fits. A queue that fills is late
+/// news, so it counts from earlier on.
+const BEGIN: [f64; 6] = [0.5, 0.25, 0.85, 0.85, 0.9, 0.9];
+/// The level falls by at most this much a second: recovery goes in steps, without a burst when it ends.
+const FALL_PER_S: f64 = 0.4;
+/// What a level may differ before it moves at all.
+const DEAD_BAND: f64 = 0.03;
+/// With no fresh gauge at all the level is taken to be this: careful, not closed.
+const BLIND: f64 = 0.5;
+
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    gauges: [Gauge; 6],
+    level: f64,
+    at: Option<Point>,
+}
+
+impl Load {
+    pub fn read(&mut self, now: Point, what: What, part: f64) {
+        self.gauges[what as usize].read(now, part);
+    }
+
+    /// Where each gauge stands: 0 below where shedding begins, 1 at its limit.
+    fn pressure(&self, now: Point, what: What) -> Option<f64> {
+        let begin = BEGIN[what as usize];
+        let value = self.gauges[what as usize].value(now)?;
+        Some(((value - begin) / (1.0 - begin)).max(0.0))
+    }
+
+    /// The tightest gauge, and its pressure.
+    pub fn tightest(&self, now: Point) -> Option<(What, f64)> {
+        let all = ALL.iter().filter_map(|what| Some((*what, self.pressure(now, *what)?)));
+        all.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// The level as it is to be acted on now. Never falls where a gauge rises.
+    pub fn level(&mut self, now: Point) -> f64 {
+        // A frozen process wakes with old gauges: they say nothing, and the level stays where it was.
+        let wanted = match self.tightest(now) {
+            Some((_, pressure)) => pressure,
+            None => self.level.max(BLIND),
+        };
+        let passed = self.at.map_or(f64::INFINITY, |at| (now - at).seconds().max(0.0));
+        self.at = Some(now);
+        let least = self.level - FALL_PER_S * passed;
+        let moved = if wanted > self.level { wanted } else { wanted.max(least) };
+        // Inside the band it stays, unless that would keep it off the ground.
+        if (moved - self.level).abs() > DEAD_BAND || moved <= 0.0 || moved > self.level {
+            self.level = moved.max(0.0);
+        } else {
+            // Not moved: the time that passed must not be lost for the next fall.
+            self.at = self.at.map(|at| at - Span::of(passed.min(1.0)));
+        }
+        self.level
+    }
+
+    /// Whether memory is what is short: then caches and history go, too.
+    pub fn memory_short(&self, now: Point) -> f64 {
+        self.pressure(now, What::Memory).unwrap_or(0.0)
+    }
+
+    /// All gauges for operators: their value and age in seconds.
+    pub fn view(&self, now: Point) -> Vec<(What, Option<f64>, Option<f64>)> {
+        ALL.iter()
+            .map(|what| {
+                let gauge = &self.gauges[*what as usize];
+                (*what, gauge.value(now), gauge.age(now))
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn at(s: f64) -> Point {
+        Point::at(1000.0 + s)
+    }
+
+    fn run(load: &mut Load, from: f64, seconds: f64, part: impl Fn(f64) -> f64) -> Vec<f64> {
+        let steps = (seconds / 0.05) as usize;
+        let level = |i: usize| {
+            let s = from + i as f64 * 0.05;
+            load.read(at(s), What::Delay, part(s));
+            load.level(at(s))
+        };
+        (0..steps).map(level).collect()
+    }
+
+    #[test]
+    fn a_burst_is_noticed_at_once_and_left_in_steps() {
+        let mut load = Load::default();
+        run(&mut load, 0.0, 2.0, |_| 0.1);
+        let burst = run(&mut load, 2.0, 1.0, |_| 3.0);
+        assert!(burst[5] > 1.0, "{:?}", &burst[..8]);
+        let after = run(&mut load, 3.0, 20.0, |_| 0.1);
+        assert!(after.windows(2).all(|w| w[0] - w[1] <= FALL_PER_S * 0.05 + DEAD_BAND + 1e-9), "steps");
+        assert_eq!(after.last(), Some(&0.0));
+    }
+
+    #[test]
+    fn missing_gauges_make_careful_and_frozen_ones_keep_the_level() {
+        let mut load = Load::default();
+        assert_eq!(load.level(at(0.0)), BLIND);
+        load.read(at(0.0), What::Memory, 0.96);
+        let before = load.level(at(0.1));
+        assert!(before > 0.7, "{before}");
+        assert_eq!(load.level(at(9.0)), before, "nothing fresh is known");
+    }
+
+    proptest! {
+        /// The level never falls because a gauge rose.
+        #[test]
+        fn the_level_is_monotone_in_each_gauge(
+            parts in proptest::collection::vec(0.0f64..3.0, 6), which in 0usize..6, more in 0.0f64..2.0,
+        ) {
+            let level = |parts: &[f64]| {
+                let mut load = Load::default();
+                for (what, part) in ALL.iter().zip(parts) {
+                    load.read(at(0.0), *what, *part);
+                }
+                load.level(at(0.01))
+            };
+            let mut higher = parts.clone();
+            higher[which] += more;
+            prop_assert!(level(&higher) >= level(&parts));
+        }
+
+        /// Under a steady load with noise the level stays within a narrow band once it has settled.
+        #[test]
+        fn a_steady_load_does_not_swing_it(part in 0.0f64..1.5, seed in 1u64..1000) {
+            let mut load = Load::default();
+            let noisy = |s: f64| part * (1.0 + 0.05 * ((s * 977.0 + seed as f64).sin()));
+            run(&mut load, 0.0, 10.0, noisy);
+            let settled = run(&mut load, 10.0, 10.0, noisy);
+            let (low, high) = settled.iter().fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
+            prop_assert!(high - low <= 0.25, "{low} to {high}");
+        }
+    }
+}
