Shedding in the controller: gauges from /proc, new wishes turned back near the limit

Cause: a controller must notice before answers start arriving late. Change: settings.shedding (absent by default); the deciding thread measures its delay, queue, CPU, memory and files and asks the core about each new wish; a wish that is shed gets its 503 with a spread wait at once, before the module sees it. Result: a socket test turns back at a memory limit; not measured yet.

--- a/crates/lemontide-front/src/core/driver.rs
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -84,6 +84,10 @@
     NoSuchLane,
     /// As many are in hand as the settings allow, or the controller stops.
     Closed,
+    /// The controller is near its own limit: come again after this.
+    Overloaded {
+        wait: Span,
+    },
 }
 
 struct Out {
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -2,6 +2,7 @@
 //! the deciding thread over two bounded queues, and what it decides goes out as effects.
 
 use crate::core::{seconds, Driver, Effect, Queued, Refusal};
+use crate::gauges::Guard;
 use crate::gossip::{self, Heard};
 use crate::http;
 use crate::link::{self, Dial, Links};
@@ -102,6 +103,9 @@
     pub streamers: usize,
     pub links_up: usize,
     pub stopping: bool,
+    /// Wishes turned away near the controller's own limit, and the level of load: 0 is free, 1 at the limit.
+    pub shed: u64,
+    pub level: f64,
     /// Seconds of CPU that the deciding thread spent in the driver and the module.
     pub deciding_s: f64,
 }
@@ -171,6 +175,7 @@
                 listeners: HashMap::new(),
                 wires: HashMap::new(),
                 heard,
+                guard: settings.shedding.as_ref().map(|limits| Guard::new(&settings, limits, clock, seed)),
                 spent: Duration::ZERO,
             };
             own.block_on(decider.run(reported, wished, stopped, stop_within));
@@ -195,6 +200,8 @@
     wires: HashMap<usize, (mpsc::Sender<Vec<Queued>>, AbortHandle)>,
     /// Where those who gossip hear what was seen here.
     heard: Option<mpsc::Sender<Heard>>,
+    /// What keeps this controller from falling behind, where the settings ask for it.
+    guard: Option<Guard>,
     spent: Duration,
 }
 
@@ -236,6 +243,9 @@
             }
             self.driver.tick(self.now());
             self.perform();
+            if let Some(guard) = &mut self.guard {
+                guard.measure(self.driver.in_hand(), wished.len() as f64 / WISHES_MOST as f64);
+            }
             self.spent += began.elapsed();
             if *stopped.borrow() {
                 let now = self.links.clock.now();
@@ -265,6 +275,10 @@
         if reply.is_closed() {
             return;
         }
+        if let Some(wait) = self.guard.as_mut().and_then(|guard| guard.turns_back(asked, &wish)) {
+            let _ = reply.send(Err(Refusal::Overloaded { wait }));
+            return;
+        }
         self.replies.insert(id, reply);
         if let Err(refusal) = self.driver.ask(self.now(), Point::at(asked), id, &wish, &cmcd) {
             if let Some(reply) = self.replies.remove(&id) {
@@ -313,6 +327,8 @@
                     streamers: self.driver.streamers(),
                     links_up: self.driver.links_up(),
                     stopping: self.driver.stopping(),
+                    shed: self.guard.as_ref().map_or(0, |guard| guard.shed),
+                    level: self.guard.as_ref().map_or(0.0, |guard| guard.last),
                     deciding_s: self.spent.as_secs_f64(),
                 });
             }
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -169,6 +169,10 @@
         Ok(Err(Refusal::Closed)) => {
             not_taken(StatusCode::SERVICE_UNAVAILABLE, "no more is taken here", serving.retry_after)
         }
+        Ok(Err(Refusal::Overloaded { wait })) => {
+            let wait = serving.retry_after.map(|_| wait.seconds());
+            not_taken(StatusCode::SERVICE_UNAVAILABLE, "the controller is near its limit", wait)
+        }
         Err(_) => not_taken(StatusCode::SERVICE_UNAVAILABLE, "the controller stops", serving.retry_after),
     }
 }
--- a/crates/lemontide-front/src/settings.rs
+++ b/crates/lemontide-front/src/settings.rs
@@ -51,6 +51,9 @@
     pub links: Links,
     #[serde(default)]
     pub limits: Limits,
+    /// Shedding before falling behind; absent, only the hard limits hold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shedding: Option<Shedding>,
     /// Gossip with other controllers: absent, as it is by default, nothing is shared.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gossip: Option<Gossip>,
@@ -200,6 +203,23 @@
     pub dial_timeout_s: f64,
 }
 
+/// What this process may use. Near these limits new wishes are turned back, least gain first.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Shedding {
+    /// How long a wish may wait for its turn, in seconds.
+    pub delay_s: f64,
+    /// Cores that the process may use.
+    pub cores: f64,
+    /// Resident memory, in bytes.
+    pub memory_bytes: f64,
+    /// Open files.
+    pub files: f64,
+    /// Part of what is taken that each lane keeps at any load, in the order of `lanes`; 0 where it is left out.
+    #[serde(default)]
+    pub lane_shares: Vec<f64>,
+}
+
 /// Gossip with other controllers about who is there and which streamers fail.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -374,6 +394,16 @@
                 "time-outs of dials, and of looks where allowed, are above 0 s",
             );
         }
+        if let Some(shedding) = &self.shedding {
+            let limits = [shedding.delay_s, shedding.cores, shedding.memory_bytes, shedding.files];
+            if limits.iter().any(|limit| !positive(*limit)) {
+                return wrong("shedding", "every limit must be above 0");
+            }
+            let shares = &shedding.lane_shares;
+            if shares.iter().any(|share| !(0.0..=1.0).contains(share)) || shares.iter().sum::<f64>() > 1.0 {
+                return wrong("shedding.lane_shares", "shares lie between 0 and 1, together at most 1");
+            }
+        }
         if let Some(gossip) = &self.gossip {
             if gossip.bytes_per_s < 4 * 1024 {
                 return wrong(
--- a/crates/lemontide-standin/src/day.rs
+++ b/crates/lemontide-standin/src/day.rs
@@ -315,6 +315,7 @@
             ration: self.ration.clone(),
             links: self.links.clone(),
             limits: Limits { stop_s: 1.0, ..Limits::default() },
+            shedding: None,
             gossip: None,
             tap,
         }
--- a/crates/lemontide-standin/tests/sockets.rs
+++ b/crates/lemontide-standin/tests/sockets.rs
@@ -241,3 +241,29 @@
     assert!(answer(none).await.starts_with("HTTP/1.1 404"));
     tokio::task::spawn_blocking(move || front.stop()).await.expect("it stops");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_controller_at_its_limit_turns_back_what_it_was_asked_to_guard() {
+    for (memory_bytes, full) in [(1.0, true), (1e12, false)] {
+        let folder = tempfile::tempdir().expect("a folder is to be had");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback is there");
+        list(folder.path(), 1, listener.local_addr().expect("it is bound"), Stage::Ready);
+        let shedding = json!({"delay_s": 5.0, "cores": 64, "memory_bytes": memory_bytes, "files": 1e6});
+        let mut settings = settings(folder.path());
+        settings.shedding = Some(serde_json::from_value(shedding).expect("it is valid"));
+        let front = Front::start(settings).await.expect("it starts");
+        let mut link = link(&listener).await;
+        // The gauges are read every tenth of a second.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let asked = send(front.address, POST, &wish("free")).await;
+        if full {
+            let text = answer(asked).await;
+            let told = text.contains("near its limit") && text.contains("retry-after: 1");
+            assert!(text.starts_with("HTTP/1.1 503") && told, "{text}");
+        } else {
+            assert!(matches!(order(&mut link).await, Order::SetUp(_)));
+            drop(asked);
+        }
+        tokio::task::spawn_blocking(move || front.stop()).await.expect("it stops");
+    }
+}
