--- a/src/control.rs
+++ b/src/control.rs
@@ -572,8 +572,8 @@
         self.resume(now, |s| s.streamer == at);
     }
 
-    /// Others are believed, from 0 to 1, when they say that a streamer fails. It leans on the sequential test and
-    /// never condemns by itself: such a streamer comes after the rest, and is tried where there is no other.
+    /// Others are believed, from 0 to 1, when they say that a streamer fails. It leans on the sequential test
+    /// and never condemns by itself: such a streamer comes after the rest, and is tried if there is no other.
     pub fn heard_of(&mut self, now: Point, streamer: &str, weight: f64) {
         let known = self.by_name.get(streamer).filter(|_| weight.is_finite());
         if let Some(streamer) = known.map(|at| &mut self.streamers[*at]) {
