--- a/crates/lemontide-cli/src/day.rs
+++ b/crates/lemontide-cli/src/day.rs
@@ -7,7 +7,6 @@
 use lemontide_standin::run::{self, How};
 use lemontide_standin::streamer::{Fault, Fleet};
 use lemontide_wire::clock::Clock;
-use lemontide_wire::list::{Entry, List, Stage};
 use lemontide_wire::tap::{self, Tap};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -122,18 +121,7 @@
     };
     runtime()?.block_on(async {
         let fleet = Fleet::start(&day, clock, tap, None).await?;
-        let entry = |(at, streamer): (usize, &lemontide_standin::day::Streamer)| Entry {
-            streamer: streamer.name.clone(),
-            address: fleet.addresses[at].to_string(),
-            zone: streamer.zone.clone(),
-            kind: day.kind.clone(),
-            cell: streamer.cell,
-            stage: Stage::Ready,
-            weight: streamer.weight,
-            started: None,
-        };
-        let there = day.streamers.iter().enumerate().filter(|(_, streamer)| !streamer.spare);
-        let list = List { version: 1, streamers: there.map(entry).collect() };
+        let list = day.first_list(&fleet.addresses);
         run::replace(&args.list, &serde_json::to_vec_pretty(&list)?)?;
         println!("{}", serde_json::json!({"streamers": list.streamers.len()}));
         tokio::signal::ctrl_c().await?;
--- a/crates/lemontide-cli/src/measure/rig.rs
+++ b/crates/lemontide-cli/src/measure/rig.rs
@@ -8,7 +8,6 @@
 use lemontide_standin::day::Day;
 use lemontide_standin::run::replace;
 use lemontide_standin::streamer::Fleet;
-use lemontide_wire::list::{Entry, List, Stage};
 use lemontide_wire::play::Answer;
 use serde::Deserialize;
 use serde_json::json;
@@ -118,17 +117,7 @@
 
 /// Writes the list of a running fleet.
 pub fn write_list(day: &Day, fleet: &Fleet, file: &Path) -> Result<(), Failed> {
-    let entry = |(at, streamer): (usize, &lemontide_standin::day::Streamer)| Entry {
-        streamer: streamer.name.clone(),
-        address: fleet.addresses[at].to_string(),
-        zone: streamer.zone.clone(),
-        kind: day.kind.clone(),
-        cell: streamer.cell,
-        stage: Stage::Ready,
-        weight: streamer.weight,
-        started: None,
-    };
-    let list = List { version: 1, streamers: day.streamers.iter().enumerate().map(entry).collect() };
+    let list = day.first_list(&fleet.addresses);
     Ok(replace(file, &serde_json::to_vec(&list)?)?)
 }
 
--- a/crates/lemontide-standin/src/day.rs
+++ b/crates/lemontide-standin/src/day.rs
@@ -5,10 +5,12 @@
     read_json, Charges, Cold, Fleet, Ladder, Lane, Limits, Links, Looks, Notes, Place, Ration, Repeat,
     RetryAfter, Settings, Shots, Tenant, Wrong,
 };
+use lemontide_wire::list::{Entry, List, Stage};
 use lemontide_wire::tap::{self, LaneTerms, Terms};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -277,6 +279,27 @@
         Ok(())
     }
 
+    /// A streamer's line in the list, as ready; `address` is where it listens.
+    pub fn entry(&self, at: usize, address: SocketAddr) -> Entry {
+        let streamer = &self.streamers[at];
+        Entry {
+            streamer: streamer.name.clone(),
+            address: address.to_string(),
+            zone: streamer.zone.clone(),
+            kind: self.kind.clone(),
+            cell: streamer.cell,
+            stage: Stage::Ready,
+            weight: streamer.weight,
+            started: None,
+        }
+    }
+
+    /// The list as it stands before anything has happened: without spares.
+    pub fn first_list(&self, addresses: &[SocketAddr]) -> List {
+        let there = (0..self.streamers.len()).filter(|at| !self.streamers[*at].spare);
+        List { version: 1, streamers: there.map(|at| self.entry(at, addresses[at])).collect() }
+    }
+
     /// The settings of one of its controllers.
     pub fn settings(&self, me: usize, list: &Path, tap: Option<PathBuf>, seed: u64) -> Settings {
         let place = |title: &Title| Place { home: title.home, copies: title.copies };
--- a/crates/lemontide-standin/src/run.rs
+++ b/crates/lemontide-standin/src/run.rs
@@ -143,18 +143,7 @@
     let fleet = Fleet::start(&day, clock, streamers, how.fault).await?;
     let players = Tap::to(&how.folder.join("players.tap"), clock, "players")?;
     let audience = Arc::new(Audience::new(day.clone(), clock, players, fleet.clone(), how.fault));
-    let entry = |(at, streamer): (usize, &crate::day::Streamer)| Entry {
-        streamer: streamer.name.clone(),
-        address: fleet.addresses[at].to_string(),
-        zone: streamer.zone.clone(),
-        kind: day.kind.clone(),
-        cell: streamer.cell,
-        stage: Stage::Ready,
-        weight: streamer.weight,
-        started: None,
-    };
-    let there = day.streamers.iter().enumerate().filter(|(_, streamer)| !streamer.spare);
-    let list = List { version: 1, streamers: there.map(entry).collect() };
+    let list = day.first_list(&fleet.addresses);
     let controllers = day.controllers.iter().map(|_| None).collect();
     let gossips = match &day.gossip {
         Some(terms) => Some(Gossips::prepare(day.controllers.len(), terms, &how.folder)?),
@@ -283,19 +272,9 @@
     }
 
     fn tell(&mut self, at: usize, stage: Stage) -> io::Result<()> {
-        let streamer = &self.day.streamers[at];
         let (started, dead) = self.fleet.with(|model, _| (model.started(at), model.is_dead(at)));
         let stage = if dead { Stage::Gone } else { stage };
-        let entry = Entry {
-            streamer: streamer.name.clone(),
-            address: self.fleet.addresses[at].to_string(),
-            zone: streamer.zone.clone(),
-            kind: self.day.kind.clone(),
-            cell: streamer.cell,
-            stage,
-            weight: streamer.weight,
-            started,
-        };
+        let entry = Entry { stage, started, ..self.day.entry(at, self.fleet.addresses[at]) };
         match self.list.streamers.iter_mut().find(|old| old.streamer == entry.streamer) {
             Some(old) => *old = entry,
             None => self.list.streamers.push(entry),
