--- a/crates/lemontide-cli/src/measure/rig.rs
+++ b/crates/lemontide-cli/src/measure/rig.rs
@@ -3,11 +3,13 @@
 use crate::Outcome;
 use axum::routing::{delete, post};
 use axum::{Json, Router};
+use lemontide_front::connections::{accept, Hall, Stack};
 use lemontide_front::front::State;
-use lemontide_front::http::{accept, Stack};
+use lemontide_shed::door::Bounds;
 use lemontide_standin::day::Day;
 use lemontide_standin::run::replace;
 use lemontide_standin::streamer::Fleet;
+use lemontide_wire::clock::Clock;
 use lemontide_wire::play::Answer;
 use serde::Deserialize;
 use serde_json::json;
@@ -15,6 +17,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, ExitCode, Stdio};
+use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Deserialize)]
@@ -138,7 +141,10 @@
         let routes = Router::new()
             .route("/v1/subscriptions", post(move |_: axum::body::Bytes| async move { Json(said()) }))
             .route("/v1/subscriptions/{id}", delete(|| async { axum::http::StatusCode::NO_CONTENT }));
-        accept(listener, routes, Stack { connections: 10_000, request: Duration::from_secs(5) }).await;
+        let bounds = Bounds { connections: 10_000, per_network: 10_000, bits_v4: 24, bits_v6: 56 };
+        let long = Duration::from_secs(60);
+        let stack = Stack { bounds, request: Duration::from_secs(5), idle: long, write: long };
+        accept(listener, routes, stack, Arc::new(Hall::new(Clock::start(), bounds)), None).await;
         Ok(ExitCode::SUCCESS)
     })
 }
--- a/crates/lemontide-front/src/core/driver.rs
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -7,6 +7,7 @@
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
 use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage};
+use lemontide_shed::flight::Flight;
 use lemontide_wire::cmcd::Cmcd;
 use lemontide_wire::cmsd::Dynamic;
 use lemontide_wire::link::{Cancel, How, Look, Order, Ping, SetRung, SetUp, Told, Why};
@@ -37,6 +38,8 @@
     pub look_timeout: Span,
     /// Wishes and subscriptions in hand at most.
     pub held_most: usize,
+    /// Set-ups under way to one streamer are bounded by how it answers.
+    pub flights: bool,
 }
 
 /// Something that has to be done.
@@ -48,6 +51,9 @@
         answer: Answer,
         suggested_kbps: Option<u64>,
         duress: bool,
+        /// Its lane, and the shots that it took.
+        lane: usize,
+        shots: u32,
     },
     News {
         id: u32,
@@ -94,8 +100,8 @@
     number: u32,
     deadline: Point,
     not_after: Point,
-    /// Given to the socket: from here on it may have run.
-    handed: bool,
+    /// When it was given to the socket: from here on it may have run.
+    handed: Option<Point>,
 }
 
 /// A wish or subscription in hand.
@@ -194,8 +200,9 @@
             let at = self.by_name.get(&entry.streamer).copied().unwrap_or(self.known.len());
             if at == self.known.len() {
                 self.by_name.insert(entry.streamer.clone(), at);
-                let known =
-                    Known { entry: entry.clone(), welcomed: None, link: Link::new(now), looking: None };
+                let mut link = Link::new(now);
+                link.flight = self.terms.flights.then(|| Flight::new(now));
+                let known = Known { entry: entry.clone(), welcomed: None, link, looking: None };
                 self.known.push(known);
                 gone.push(false);
                 self.tell(entry.clone());
@@ -339,7 +346,7 @@
             None => {
                 self.held.remove(&id);
             }
-            Some(out) if !out.handed => {
+            Some(out) if out.handed.is_none() => {
                 let shot = (id, out.number);
                 self.known[at].link.withdraw(shot);
                 self.end_shots(now, at, vec![shot], Ending::NotSent);
@@ -381,8 +388,9 @@
         for id in ids {
             if let Some(held) = self.held.get(&id).filter(|held| !held.playing && !held.left) {
                 // It may be set up by now or not: nothing is promised of the effect.
+                let (lane, shots) = (held.lane, held.shots);
                 let answer = Answer::Scrapped { ask: held.ask.clone() };
-                self.answer(id, answer);
+                self.answer(id, answer, lane, shots);
             }
             self.end(now, id, Why::Left, Over::Stopped);
         }
@@ -443,7 +451,7 @@
             tracing::info!(target: "link", streamer, waiting = waiting.len(), "lost");
             self.effects.push(Effect::Tap(What::LinkLost { streamer }));
             let on_it = |held: &Held| {
-                held.at == at && (held.playing || held.out.as_ref().is_some_and(|out| out.handed))
+                held.at == at && (held.playing || held.out.as_ref().is_some_and(|out| out.handed.is_some()))
             };
             self.saw(at, Ending::Broken);
             let broken: Vec<_> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
@@ -477,7 +485,7 @@
                 let load = load(&plays.cmsd_dynamic);
                 // An answer to a shot that is no longer waited for: its cancel is under way.
                 let Some(held) = self.waits_for(at, plays.id, plays.shot) else { return };
-                held.out = None;
+                let handed = held.out.take().and_then(|out| out.handed);
                 held.playing = true;
                 let (handle, ask, rung, lane) = (held.handle, held.ask.clone(), held.rung, held.lane);
                 self.effects.push(Effect::Tap(What::Heard {
@@ -487,6 +495,7 @@
                 }));
                 handle.plays(&mut self.module, now);
                 self.saw(at, Ending::Served);
+                self.landed(now, at, handed, Ending::Served);
                 if load.link.is_some() || load.rack.is_some() {
                     handle.load(&mut self.module, now, load);
                 }
@@ -505,7 +514,7 @@
                         rung,
                         rate_kb: self.rate_kb(lane, rung),
                     };
-                    self.answer(plays.id, answer);
+                    self.answer(plays.id, answer, lane, plays.shot + 1);
                 }
             }
             Told::Ended(ended) => {
@@ -579,7 +588,7 @@
         let Some(held) = self.held.get(&id) else { return };
         let Some(out) = held.out.as_ref().filter(|out| out.number == shot) else { return };
         let (at, ask) = (held.at, held.ask.clone());
-        if !out.handed {
+        if out.handed.is_none() {
             if now >= out.not_after {
                 self.known[at].link.withdraw((id, shot));
                 self.end_shots(now, at, vec![(id, shot)], Ending::NoConnection);
@@ -638,7 +647,7 @@
 
     fn waits_for(&mut self, at: usize, id: u32, shot: u32) -> Option<&mut Held> {
         let held = self.held.get_mut(&id).filter(|held| held.at == at)?;
-        held.out.as_ref().is_some_and(|out| out.number == shot && out.handed).then_some(held)
+        held.out.as_ref().is_some_and(|out| out.number == shot && out.handed.is_some()).then_some(held)
     }
 
     fn plays_at(&self, at: usize, id: u32) -> Option<Handle> {
@@ -665,7 +674,7 @@
         for (id, number) in orders.iter().filter_map(|order| order.shot) {
             let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
             if let Some(out) = out.filter(|out| out.number == number) {
-                out.handed = true;
+                out.handed = Some(now);
                 self.due.push(Reverse((out.deadline, id, number)));
             }
         }
@@ -684,12 +693,47 @@
         }
     }
 
+    /// A set-up that was handed to a link is no longer under way.
+    fn landed(&mut self, now: Point, at: usize, handed: Option<Point>, ending: Ending) {
+        let Some(handed) = handed else { return };
+        let Some(flight) = self.known.get_mut(at).and_then(|known| known.link.flight.as_mut()) else {
+            return;
+        };
+        match ending {
+            Ending::Served => flight.back(now, Some(now - handed)),
+            // Too many at once: it said so, or said nothing.
+            Ending::SentBack | Ending::TimedOut => flight.back(now, None),
+            // This tells of its health, which is the module's to judge, and nothing of its room.
+            _ => flight.gone(),
+        }
+        self.pump(now, at);
+    }
+
+    /// Memory is short: what is only remembered to serve better goes, nothing that is in hand.
+    pub fn relieve(&mut self, history: bool) {
+        self.viewers.shrink();
+        if history {
+            self.due.shrink_to_fit();
+            self.effects.shrink_to_fit();
+        }
+    }
+
+    /// Set-ups under way and the bound of each link that has one, for the operators.
+    pub fn flights(&self) -> Vec<(String, usize, usize)> {
+        let flight = |known: &Known| {
+            let flight = known.link.flight.as_ref()?;
+            Some((known.entry.streamer.clone(), flight.out(), flight.limit()))
+        };
+        self.known.iter().filter_map(flight).collect()
+    }
+
     /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
     fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        held.out = None;
+        let handed = held.out.take().and_then(|out| out.handed);
         held.last = Some(ending);
         let (handle, playing, left, at) = (held.handle, held.playing, held.left, held.at);
+        self.landed(now, at, handed, ending);
         // Streams that end well say no more than their start did; one lost streamer is one failure, not hundreds.
         if !playing {
             self.saw(at, ending);
@@ -720,12 +764,13 @@
                 let Some(held) = self.held.remove(&id) else { continue };
                 self.explain(now, "turned back", &held);
                 let retry_after_s = after.map(Span::seconds);
-                self.answer(id, Answer::TurnedBack { ask: held.ask, retry_after_s });
+                let answer = Answer::TurnedBack { ask: held.ask, retry_after_s };
+                self.answer(id, answer, held.lane, held.shots);
             }
             for id in results.scrapped.drain(..) {
                 let Some(held) = self.held.remove(&id) else { continue };
                 self.explain(now, "scrapped", &held);
-                self.answer(id, Answer::Scrapped { ask: held.ask });
+                self.answer(id, Answer::Scrapped { ask: held.ask }, held.lane, held.shots);
             }
             for id in results.moved.drain(..) {
                 self.end(now, id, Why::Moved, Over::Moved);
@@ -754,7 +799,7 @@
         );
     }
 
-    fn answer(&mut self, id: u32, answer: Answer) {
+    fn answer(&mut self, id: u32, answer: Answer, lane: usize, shots: u32) {
         let (kind, place, ask) = match &answer {
             Answer::Plays { ask, .. } => (Kind::Plays, 0, ask.clone()),
             Answer::TurnedBack { ask, .. } => (Kind::TurnedBack, 1, ask.clone()),
@@ -769,7 +814,7 @@
             _ => None,
         };
         let duress = kind != Kind::Plays;
-        self.effects.push(Effect::Answer { id, answer, suggested_kbps, duress });
+        self.effects.push(Effect::Answer { id, answer, suggested_kbps, duress, lane, shots });
     }
 
     fn set_rung(&mut self, now: Point, id: u32, rung: usize) {
@@ -795,7 +840,7 @@
         let not_after = deadline.min(now + self.terms.dial_timeout);
         held.shots += 1;
         held.at = at;
-        held.out = Some(Out { number, deadline, not_after, handed: false });
+        held.out = Some(Out { number, deadline, not_after, handed: None });
         let order = Order::SetUp(SetUp {
             id,
             shot: number,
--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -3,6 +3,7 @@
 //! stale and change nothing.
 
 use lemontide::clock::{Point, Span};
+use lemontide_shed::flight::Flight;
 use lemontide_wire::link::Order;
 use std::collections::VecDeque;
 
@@ -65,6 +66,8 @@
     failures: u32,
     dialled: Option<Point>,
     queue: VecDeque<Queued>,
+    /// Bounds set-ups under way, where the settings ask for it.
+    pub flight: Option<Flight>,
     /// Whether the list still names it; one that is gone is not dialled again.
     pub wanted: bool,
 }
@@ -72,7 +75,15 @@
 impl Link {
     pub fn new(now: Point) -> Link {
         let state = State::Down { redial: now };
-        Link { dial: 0, state, failures: 0, dialled: None, queue: VecDeque::new(), wanted: true }
+        Link {
+            dial: 0,
+            state,
+            failures: 0,
+            dialled: None,
+            queue: VecDeque::new(),
+            flight: None,
+            wanted: true,
+        }
     }
 
     pub fn is_up(&self) -> bool {
@@ -99,6 +110,9 @@
 
     pub fn up(&mut self, now: Point) {
         self.failures = 0;
+        if let Some(flight) = &mut self.flight {
+            flight.fresh(now);
+        }
         self.state = State::Up { heard: now, pinged: now, writing: None };
     }
 
@@ -126,10 +140,31 @@
         room
     }
 
-    /// The next orders to write, once the last ones are written.
+    /// The next orders to write, once the last ones are written. A set-up that the streamer has no room for now
+    /// stays behind; orders of what plays go before it.
     pub fn batch(&mut self, now: Point) -> Vec<Queued> {
         let State::Up { writing: writing @ None, .. } = &mut self.state else { return Vec::new() };
-        let batch: Vec<_> = self.queue.drain(..self.queue.len().min(BATCH_MOST)).collect();
+        let batch: Vec<_> = match &mut self.flight {
+            None => self.queue.drain(..self.queue.len().min(BATCH_MOST)).collect(),
+            Some(flight) => {
+                let mut batch = Vec::new();
+                let mut stay = VecDeque::new();
+                while batch.len() < BATCH_MOST {
+                    let Some(order) = self.queue.pop_front() else { break };
+                    if order.shot.is_some() && !flight.may(now) {
+                        stay.push_back(order);
+                        continue;
+                    }
+                    if order.shot.is_some() {
+                        flight.sent();
+                    }
+                    batch.push(order);
+                }
+                stay.append(&mut self.queue);
+                self.queue = stay;
+                batch
+            }
+        };
         *writing = (!batch.is_empty()).then_some(now);
         batch
     }
@@ -254,6 +289,28 @@
         assert_eq!(link.batch(at(0.0)).len(), 1);
     }
 
+    #[test]
+    fn set_ups_wait_for_a_streamers_answers_and_other_orders_go_past_them() {
+        let mut link = up();
+        link.flight = Some(Flight::new(at(0.0)));
+        let limit = link.flight.as_ref().map_or(0, Flight::limit);
+        (0..limit as u32 + 10).for_each(|id| assert!(link.push(set_up(id))));
+        let mut left = 0;
+        while let Some(sent) = Some(link.batch(at(0.0)).len()).filter(|sent| *sent > 0) {
+            left += sent;
+            link.wrote();
+        }
+        assert_eq!(left, limit, "no more than it may have at once");
+        assert!(link.push(Queued { order: Order::Ping(Ping { nonce: 1 }), shot: None, not_after: None }));
+        assert!(matches!(&link.batch(at(0.0))[..], [only] if only.shot.is_none()));
+        link.wrote();
+        assert!(link.withdraw((limit as u32 + 9, 0)), "what waits provably never ran");
+        if let Some(flight) = &mut link.flight {
+            flight.back(at(0.1), Some(Span::of_millis(100)));
+        }
+        assert_eq!(link.batch(at(0.1)).first().and_then(|order| order.shot), Some((limit as u32, 0)));
+    }
+
     #[test]
     fn redials_back_off_and_spread() {
         let mut link = Link::new(at(0.0));
--- a/crates/lemontide-front/src/core/viewers.rs
+++ b/crates/lemontide-front/src/core/viewers.rs
@@ -33,6 +33,20 @@
     }
 }
 
+impl Viewers {
+    /// Memory is short: the older half is forgotten and its room given back.
+    pub fn shrink(&mut self) {
+        for _ in 0..self.order.len().div_ceil(2) {
+            let Some((at, old)) = self.order.pop_front() else { break };
+            if self.seen.get(&old) == Some(&at) {
+                self.seen.remove(&old);
+            }
+        }
+        self.order.shrink_to_fit();
+        self.seen.shrink_to_fit();
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -49,5 +63,9 @@
             viewers.returns(at(162.0), &i.to_string());
         }
         assert!(viewers.seen.len() <= MOST && viewers.order.len() <= MOST);
+        let before = viewers.seen.len();
+        viewers.shrink();
+        assert!(viewers.seen.len() <= before / 2 + 1);
+        assert!(viewers.returns(at(163.0), &(2 * MOST - 1).to_string()), "the newest are still known");
     }
 }
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -1,14 +1,19 @@
 //! Ties the controller together: one thread decides, the runtime's tasks do the I/O. All that happens comes to
 //! the deciding thread over two bounded queues, and what it decides goes out as effects.
 
+use crate::connections::Hall;
 use crate::core::{seconds, Driver, Effect, Queued, Refusal};
-use crate::gauges::Guard;
 use crate::gossip::{self, Heard};
+use crate::guard::Guard;
 use crate::http;
 use crate::link::{self, Dial, Links};
 use crate::list::{ListFile, Source};
 use crate::settings::Settings;
+use crate::waiting::Waiting;
 use lemontide::clock::Point;
+use lemontide_shed::door::Counts;
+use lemontide_shed::keeper::View;
+use lemontide_shed::room::{Order, Turn};
 use lemontide_wire::clock::Clock;
 use lemontide_wire::cmcd::Cmcd;
 use lemontide_wire::link::Told;
@@ -19,15 +24,15 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 
-/// Events that wait for the deciding thread: of what is in hand, and of new wishes.
+/// Events of what is in hand that wait for the deciding thread; new wishes wait in a room of their own.
 const REPORTS_MOST: usize = 8192;
-const WISHES_MOST: usize = 4096;
 /// Events taken between two looks at the timers, and new wishes among them.
 const ROUND: usize = 1024;
 const WISHES_A_ROUND: usize = 64;
@@ -87,6 +92,10 @@
         news: oneshot::Sender<Option<mpsc::Receiver<News>>>,
     },
     State(oneshot::Sender<State>),
+    /// Memory is short: caches go, and with `history` spare room, too.
+    Relieve {
+        history: bool,
+    },
     /// What others are believed to know of streamers, by name and weight.
     Doubts(Vec<(String, f64)>),
 }
@@ -106,6 +115,15 @@
     /// Wishes turned away near the controller's own limit, and the level of load: 0 is free, 1 at the limit.
     pub shed: u64,
     pub level: f64,
+    /// Those of them that were turned back at the doorway, before the HTTP stack.
+    pub shed_at_the_door: u64,
+    /// Wishes that waited until it was too late.
+    pub late: u64,
+    pub connections: Counts,
+    /// Where shedding is on: the gauges, and what became of each lane's wishes.
+    pub shedding: Option<View>,
+    /// Set-ups under way to each streamer, and how many may be.
+    pub flights: Vec<(String, usize, usize)>,
     /// Seconds of CPU that the deciding thread spent in the driver and the module.
     pub deciding_s: f64,
 }
@@ -130,8 +148,14 @@
         tap.write(What::Up { controller: settings.me });
         let listener = tokio::net::TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
+        let seed = settings.seed.unwrap_or_else(rand::random);
         let (reports, reported) = mpsc::channel(REPORTS_MOST);
-        let (wishes, wished) = mpsc::channel(WISHES_MOST);
+        let guard = Guard::new(&settings, clock, seed).map(Arc::new);
+        let order = if guard.is_some() { Order::Rank } else { Order::Arrival };
+        let most = settings.limits.waiting;
+        let lane_most = settings.shedding.as_ref().and_then(|limits| limits.lane_waiting).unwrap_or(most);
+        let room = Arc::new(Waiting::new(order, most, lane_most, settings.lanes.len()));
+        let hall = Arc::new(Hall::new(clock, http::stack(&settings).bounds));
         let (stop, stopped) = watch::channel(false);
         let mut source = ListFile::new(settings.list.clone());
         let lists = reports.clone();
@@ -143,7 +167,6 @@
                 }
             }
         });
-        let seed = settings.seed.unwrap_or_else(rand::random);
         let links = Links {
             clock,
             tap: tap.clone(),
@@ -159,7 +182,11 @@
             }
             None => (None, None),
         };
-        http::serve(listener, &settings, clock, wishes, reports, stopped.clone(), asked_of_gossip);
+        if let Some(guard) = &guard {
+            tokio::spawn(guard.clone().keep(room.clone(), hall.clone(), reports.clone()));
+        }
+        let before = http::Before { clock, room: room.clone(), guard: guard.clone(), hall };
+        http::serve(listener, &settings, before, reports, stopped.clone(), asked_of_gossip);
         let runtime = Handle::current();
         let stop_within = settings.limits.stop_s;
         let decides = std::thread::Builder::new().name("decides".into()).spawn(move || {
@@ -175,10 +202,12 @@
                 listeners: HashMap::new(),
                 wires: HashMap::new(),
                 heard,
-                guard: settings.shedding.as_ref().map(|limits| Guard::new(&settings, limits, clock, seed)),
+                guard,
+                room,
+                late: 0,
                 spent: Duration::ZERO,
             };
-            own.block_on(decider.run(reported, wished, stopped, stop_within));
+            own.block_on(decider.run(reported, stopped, stop_within));
         })?;
         Ok(Front { address, stop, decides })
     }
@@ -201,7 +230,9 @@
     /// Where those who gossip hear what was seen here.
     heard: Option<mpsc::Sender<Heard>>,
     /// What keeps this controller from falling behind, where the settings ask for it.
-    guard: Option<Guard>,
+    guard: Option<Arc<Guard>>,
+    room: Arc<Waiting>,
+    late: u64,
     spent: Duration,
 }
 
@@ -209,21 +240,23 @@
     async fn run(
         &mut self,
         mut reported: mpsc::Receiver<Happened>,
-        mut wished: mpsc::Receiver<Asked>,
         mut stopped: watch::Receiver<bool>,
         stop_within: f64,
     ) {
         let mut closes_at = None;
+        let mut more = false;
+        let room = self.room.clone();
         loop {
-            let next = self.links.clock.instant(seconds(self.driver.next()));
+            // Wishes that wait already are not waited for, but what came of those in hand is looked at first.
+            let next = if more { self.now() } else { self.driver.next() };
+            let next = self.links.clock.instant(seconds(next));
             let mut round = Vec::new();
-            let mut asked = Vec::new();
             let _ = timeout_at(next.into(), async {
                 tokio::select! {
                     biased;
                     _ = stopped.changed(), if closes_at.is_none() => {}
                     n = reported.recv_many(&mut round, ROUND) => { let _ = n; }
-                    n = wished.recv_many(&mut asked, WISHES_A_ROUND) => { let _ = n; }
+                    () = room.came() => {}
                 }
             })
             .await;
@@ -237,14 +270,16 @@
                 self.happened(happened);
                 self.perform();
             }
-            for wish in asked {
-                self.asked(wish);
+            let turns;
+            (turns, more) = room.take(self.now(), WISHES_A_ROUND);
+            for turn in turns {
+                self.asked(turn);
                 self.perform();
             }
             self.driver.tick(self.now());
             self.perform();
-            if let Some(guard) = &mut self.guard {
-                guard.measure(self.driver.in_hand(), wished.len() as f64 / WISHES_MOST as f64);
+            if let Some(guard) = &self.guard {
+                guard.in_hand(self.driver.in_hand());
             }
             self.spent += began.elapsed();
             if *stopped.borrow() {
@@ -256,6 +291,7 @@
                 }
             }
         }
+        room.close();
         self.driver.close(self.now());
         self.perform();
         // What was ordered last, and the last answers, get a moment to leave.
@@ -269,15 +305,21 @@
         Point::at(self.links.clock.now())
     }
 
-    fn asked(&mut self, wish: Asked) {
+    fn asked(&mut self, turn: Turn<Asked>) {
+        let late = matches!(turn, Turn::Late(_));
+        let (Turn::Go(wish) | Turn::Late(wish)) = turn;
         let Asked { id, asked, wish, cmcd, reply } = wish;
         // The player may be gone before its wish was looked at: then nothing is set up.
         if reply.is_closed() {
             return;
         }
-        if let Some(wait) = self.guard.as_mut().and_then(|guard| guard.turns_back(asked, &wish)) {
-            let _ = reply.send(Err(Refusal::Overloaded { wait }));
-            return;
+        if let Some(guard) = &self.guard {
+            guard.waited(self.links.clock.now() - asked);
+            if late {
+                self.late += 1;
+                let _ = reply.send(Err(Refusal::Overloaded { wait: guard.wait() }));
+                return;
+            }
         }
         self.replies.insert(id, reply);
         if let Err(refusal) = self.driver.ask(self.now(), Point::at(asked), id, &wish, &cmcd) {
@@ -314,6 +356,7 @@
                 });
                 let _ = news.send(listens);
             }
+            Happened::Relieve { history } => self.driver.relieve(history),
             Happened::Doubts(weights) => self.driver.doubts(now, &weights),
             Happened::State(reply) => {
                 let [plays, turned_back, scrapped] = self.driver.answered;
@@ -327,9 +370,11 @@
                     streamers: self.driver.streamers(),
                     links_up: self.driver.links_up(),
                     stopping: self.driver.stopping(),
-                    shed: self.guard.as_ref().map_or(0, |guard| guard.shed),
-                    level: self.guard.as_ref().map_or(0.0, |guard| guard.last),
+                    late: self.late,
+                    flights: self.driver.flights(),
                     deciding_s: self.spent.as_secs_f64(),
+                    // The rest is filled in where it is known.
+                    ..State::default()
                 });
             }
         }
@@ -347,7 +392,10 @@
                             let _ = heard.try_send(Heard { streamer, good });
                         }
                     }
-                    Effect::Answer { id, answer, suggested_kbps, duress } => {
+                    Effect::Answer { id, answer, suggested_kbps, duress, lane, shots } => {
+                        if let Some(guard) = &self.guard {
+                            guard.cost(lane, shots);
+                        }
                         let Some(reply) = self.replies.remove(&id) else { continue };
                         if reply.send(Ok(Said { answer, suggested_kbps, duress })).is_err() {
                             // Gone without a word: what was set up for it is ended.
--- /dev/null
+++ b/crates/lemontide-front/src/guard.rs
@@ -0,0 +1,236 @@
+//! Measures this process for the shedding core and asks it about each new wish. Figures come from `/proc`, from the
+//! sockets' loop and from the deciding thread; what they mean is decided in `lemontide-shed`.
+
+use crate::connections::Hall;
+use crate::front::Happened;
+use crate::settings::Settings;
+use crate::waiting::Waiting;
+use lemontide::clock::{Point, Span};
+use lemontide_shed::admit::{Lane, Word};
+use lemontide_shed::keeper::{Asked, Keeper, Terms, View};
+use lemontide_shed::level::What;
+use lemontide_shed::relief::Stage;
+use lemontide_wire::clock::Clock;
+use lemontide_wire::hint::Hint;
+use lemontide_wire::play::Wish;
+use nix::time::{clock_gettime, ClockId};
+use procfs::process::Process;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// The beat by which the loop's own lateness is seen, and how many beats lie between two readings of `/proc`,
+/// which cost tens of microseconds.
+const BEAT: Duration = Duration::from_millis(10);
+const BEATS_A_READING: u32 = 10;
+/// When memory is short, connections that were idle for so long are closed, so many at a time.
+const IDLE_AT_RELIEF: Span = Span::of_millis(1000);
+const CLOSED_AT_ONCE: usize = 256;
+
+/// Stands before the driver where the settings ask for it. Shared by the sockets and the deciding thread.
+pub struct Guard {
+    clock: Clock,
+    keeper: Mutex<Keeper>,
+    lanes: Vec<(String, Span)>,
+    /// Limits: of the delay, of cores, of memory, of files and of what is in hand.
+    delay_s: f64,
+    cores: f64,
+    memory_bytes: f64,
+    files: f64,
+    held_most: f64,
+    /// The longest wait for a turn since the last reading, in microseconds, and what is in hand.
+    waited_us: AtomicU64,
+    in_hand: AtomicUsize,
+    /// Wishes turned back at the doorway.
+    pub at_the_door: AtomicU64,
+}
+
+impl Guard {
+    /// None where the settings don't ask for one.
+    pub fn new(settings: &Settings, clock: Clock, seed: u64) -> Option<Guard> {
+        let limits = settings.shedding.as_ref()?;
+        let share = |i: usize| limits.lane_shares.get(i).copied().unwrap_or(0.0);
+        let lane =
+            |(i, lane): (usize, &crate::settings::Lane)| Lane { gain: lane.gain, cost: 1.0, share: share(i) };
+        let here = settings.controllers.max(1) as f64;
+        let terms = Terms {
+            lanes: settings.lanes.iter().enumerate().map(lane).collect(),
+            tenants: settings.tenants.iter().map(|t| (t.name.clone(), t.quota_per_s / here)).collect(),
+            longest: Span::of(settings.retry_after.longest_s),
+            hold: Span::of(limits.hold_s),
+            delay: Span::of(limits.delay_s),
+        };
+        Some(Guard {
+            clock,
+            keeper: Mutex::new(Keeper::new(Point::at(clock.now()), terms, seed)),
+            lanes: settings.lanes.iter().map(|lane| (lane.name.clone(), Span::of(lane.cut_off_s))).collect(),
+            delay_s: limits.delay_s,
+            cores: limits.cores,
+            memory_bytes: limits.memory_bytes,
+            files: limits.files,
+            held_most: settings.limits.held as f64,
+            waited_us: AtomicU64::new(0),
+            in_hand: AtomicUsize::new(0),
+            at_the_door: AtomicU64::new(0),
+        })
+    }
+
+    fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn left(&self, lane: usize, asked: f64, within: Option<f64>, now: f64) -> Span {
+        let cut_off = self.lanes[lane].1;
+        let given = within.filter(|s| s.is_finite()).map_or(cut_off, Span::of);
+        Point::at(asked) + given.min(cut_off) - Point::at(now)
+    }
+
+    /// A wish by its hint, before it is read: the wait in seconds where it is turned back.
+    pub fn hinted(&self, hint: &Hint) -> Option<Span> {
+        // A lane that nobody named is the driver's to refuse.
+        let lane = self.lanes.iter().position(|(name, _)| *name == hint.lane)?;
+        let now = self.clock.now();
+        let asked = Asked {
+            lane,
+            tenant: &hint.tenant,
+            returning: hint.returned,
+            left: self.left(lane, now, hint.within, now),
+            held: false,
+            at_once: true,
+        };
+        match self.keeper().judge(Point::at(now), asked) {
+            Word::Take | Word::Hold { .. } => None,
+            Word::TurnBack { wait } => {
+                self.at_the_door.fetch_add(1, Ordering::Relaxed);
+                Some(wait)
+            }
+        }
+    }
+
+    /// A wish that was read at `asked` seconds; `held` where it is asked about once more.
+    pub fn judge(&self, asked: f64, wish: &Wish, held: bool) -> Word {
+        let Some(lane) = self.lanes.iter().position(|(name, _)| *name == wish.lane) else {
+            return Word::Take;
+        };
+        let now = self.clock.now();
+        let asked = Asked {
+            lane,
+            tenant: &wish.tenant,
+            returning: wish.returned,
+            left: self.left(lane, asked, wish.give_up_in_s, now),
+            held,
+            at_once: false,
+        };
+        self.keeper().judge(Point::at(now), asked)
+    }
+
+    /// The player of a held wish went away.
+    pub fn held_left(&self) {
+        self.keeper().held_left();
+    }
+
+    /// A wait for who lost its place or came too late for it.
+    pub fn wait(&self) -> Span {
+        self.keeper().wait(Point::at(self.clock.now()))
+    }
+
+    /// A wish got its turn, so long after it was read.
+    pub fn waited(&self, s: f64) {
+        self.waited_us.fetch_max((s.max(0.0) * 1e6) as u64, Ordering::Relaxed);
+    }
+
+    pub fn in_hand(&self, count: usize) {
+        self.in_hand.store(count, Ordering::Relaxed);
+    }
+
+    pub fn cost(&self, lane: usize, shots: u32) {
+        self.keeper().cost(lane, f64::from(shots));
+    }
+
+    pub fn view(&self) -> View {
+        self.keeper().view(Point::at(self.clock.now()))
+    }
+
+    pub fn shed(&self) -> u64 {
+        self.keeper().shed()
+    }
+
+    /// Reads the gauges and does what memory asks for, until the deciding thread is gone.
+    pub async fn keep(
+        self: Arc<Self>,
+        waiting: Arc<Waiting>,
+        hall: Arc<Hall>,
+        reports: mpsc::Sender<Happened>,
+    ) {
+        let (mut late, mut beats) = (Duration::ZERO, 0);
+        let mut spent: Option<(f64, f64)> = None;
+        let mut stage = Stage::Free;
+        while !reports.is_closed() {
+            let due = Instant::now() + BEAT;
+            tokio::time::sleep_until(due).await;
+            late = late.max(due.elapsed());
+            beats += 1;
+            if beats < BEATS_A_READING && late < BEAT {
+                continue;
+            }
+            if beats < BEATS_A_READING {
+                // Late already: tell at once, the rest in its time.
+                self.keeper().read(
+                    Point::at(self.clock.now()),
+                    What::Loop,
+                    late.as_secs_f64() / self.delay_s,
+                );
+                self.keeper().beat(Point::at(self.clock.now()));
+                continue;
+            }
+            beats = 0;
+            let seconds = self.clock.now();
+            let now = Point::at(seconds);
+            let (fullness, oldest) = waiting.fullness();
+            let waits = oldest.map_or(0.0, |asked| seconds - asked);
+            let waited = (self.waited_us.swap(0, Ordering::Relaxed) as f64 / 1e6).max(waits);
+            let mut readings = vec![
+                (What::Delay, waited / self.delay_s),
+                (What::Loop, std::mem::take(&mut late).as_secs_f64() / self.delay_s),
+                (What::Queue, fullness),
+                (What::Held, self.in_hand.load(Ordering::Relaxed) as f64 / self.held_most),
+            ];
+            if let Ok(cpu) = clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID) {
+                let cpu = Duration::from(cpu).as_secs_f64();
+                if let Some((before, at)) = spent.replace((cpu, seconds)) {
+                    readings.push((What::Cpu, (cpu - before) / (seconds - at).max(1e-3) / self.cores));
+                }
+            }
+            // A gauge that can't be read grows old, and the core knows what to make of that.
+            if let Ok(process) = Process::myself() {
+                if let Ok(stat) = process.stat() {
+                    let resident = (stat.rss * procfs::page_size()) as f64;
+                    readings.push((What::Memory, resident / self.memory_bytes));
+                }
+                if let Ok(files) = process.fd_count() {
+                    readings.push((What::Files, files as f64 / self.files));
+                }
+            }
+            let before = stage;
+            let (ranks, shares) = {
+                let mut keeper = self.keeper();
+                for (what, part) in readings {
+                    keeper.read(now, what, part);
+                }
+                stage = keeper.beat(now);
+                let (ranks, shares) = keeper.ranks();
+                (ranks.to_vec(), shares)
+            };
+            waiting.rank(&ranks, &shares);
+            if stage >= Stage::Caches {
+                hall.close_idle(IDLE_AT_RELIEF, CLOSED_AT_ONCE);
+            }
+            if stage > before && stage >= Stage::Caches {
+                tracing::warn!(target: "shedding", ?stage, "memory is short");
+                let _ = reports.try_send(Happened::Relieve { history: stage == Stage::History });
+            }
+        }
+    }
+}
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -1,8 +1,11 @@
 //! The players' side: HTTP/1.1. A wish gets exactly one answer; a player that goes away is heard at once.
 
+use crate::connections::{accept, Hall, LetIn, Stack};
 use crate::core::Refusal;
 use crate::front::{Asked, Happened, Said, State as Figures};
+use crate::guard::Guard;
 use crate::settings::Settings;
+use crate::waiting::Waiting as Room;
 use axum::body::{to_bytes, Body};
 use axum::extract::{Path, Request, State};
 use axum::http::{header, HeaderMap, HeaderValue, StatusCode};
@@ -10,9 +13,11 @@
 use axum::routing::{delete, get, post};
 use axum::{Json, Router};
 use futures::stream;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
+use lemontide::clock::{Point, Span};
 use lemontide_gossip::node::View;
+use lemontide_shed::admit::Word;
+use lemontide_shed::door::Bounds;
+use lemontide_shed::room::Entered;
 use lemontide_wire::clock::Clock;
 use lemontide_wire::cmcd::{self, Cmcd};
 use lemontide_wire::cmsd;
@@ -21,17 +26,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-/// Bytes of one request's head at most.
-const HEAD_MOST: usize = 16 * 1024;
-
 #[derive(Clone)]
 struct Serving {
     clock: Clock,
-    wishes: mpsc::Sender<Asked>,
+    room: Arc<Room>,
+    guard: Option<Arc<Guard>>,
+    hall: Arc<Hall>,
     reports: mpsc::Sender<Happened>,
     ids: Arc<AtomicU32>,
     me: usize,
@@ -39,35 +42,61 @@
     request: Duration,
     /// The wait that a wish which can't be queued is told, in seconds; none where that is not allowed.
     retry_after: Option<f64>,
-    live: Arc<Vec<String>>,
+    /// Name and cut-off of each lane, and whether it is live.
+    lanes: Arc<Vec<(String, f64, bool)>>,
     gossip: Option<mpsc::Sender<oneshot::Sender<View>>>,
 }
 
+/// What stands between the sockets and the deciding thread.
+pub struct Before {
+    pub clock: Clock,
+    pub room: Arc<Room>,
+    pub guard: Option<Arc<Guard>>,
+    pub hall: Arc<Hall>,
+}
+
+/// Bounds of the HTTP stack that the settings state.
+pub fn stack(settings: &Settings) -> Stack {
+    let limits = &settings.limits;
+    Stack {
+        bounds: Bounds {
+            connections: limits.connections,
+            per_network: limits.per_network,
+            bits_v4: limits.network_bits_v4,
+            bits_v6: limits.network_bits_v6,
+        },
+        request: Duration::from_secs_f64(limits.request_s),
+        idle: Duration::from_secs_f64(limits.idle_s),
+        write: Duration::from_secs_f64(limits.write_s),
+    }
+}
+
 /// Serves players until the listener fails for good or all is dropped.
 pub fn serve(
     listener: TcpListener,
     settings: &Settings,
-    clock: Clock,
-    wishes: mpsc::Sender<Asked>,
+    before: Before,
     reports: mpsc::Sender<Happened>,
     stopped: watch::Receiver<bool>,
     gossip: Option<mpsc::Sender<oneshot::Sender<View>>>,
 ) {
     let allowed = settings.retry_after.allowed && settings.retry_after.longest_s > 0.0;
-    let live = settings.lanes.iter().filter(|lane| lane.live).map(|lane| lane.name.clone()).collect();
+    let lanes = settings.lanes.iter().map(|lane| (lane.name.clone(), lane.cut_off_s, lane.live)).collect();
+    let Before { clock, room, guard, hall } = before;
     let serving = Serving {
         clock,
-        wishes,
+        room,
+        guard: guard.clone(),
+        hall: hall.clone(),
         reports,
         ids: Arc::new(AtomicU32::new(1)),
         me: settings.me,
         body_bytes: settings.limits.body_bytes,
         request: Duration::from_secs_f64(settings.limits.request_s),
         retry_after: allowed.then_some(settings.retry_after.longest_s),
-        live: Arc::new(live),
+        lanes: Arc::new(lanes),
         gossip,
     };
-    let request = serving.request;
     let routes = Router::new()
         .route("/v1/subscriptions", post(subscribe))
         .route("/v1/subscriptions/{id}", delete(leave))
@@ -75,48 +104,14 @@
         .route("/v1/state", get(figures))
         .route("/v1/gossip", get(gossip_view))
         .with_state(serving);
-    let stack = Stack { connections: settings.limits.connections, request };
+    let stack = stack(settings);
     tokio::spawn(async move {
         // Wishes that come while the controller stops are answered, too; so the listener stays until the end.
         let _stopped = stopped;
-        accept(listener, routes, stack).await;
+        accept(listener, routes, stack, hall, guard).await;
     });
 }
 
-/// Bounds of the HTTP stack: connections at a time, and the time in which a head must be there.
-#[derive(Clone, Copy, Debug)]
-pub struct Stack {
-    pub connections: usize,
-    pub request: Duration,
-}
-
-/// Accepts connections and serves these routes on them, for as long as it is polled.
-pub async fn accept(listener: TcpListener, routes: Router, stack: Stack) {
-    let room = Arc::new(Semaphore::new(stack.connections));
-    loop {
-        // A full house leaves connections in the system's queue; they are not accepted and then forgotten.
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let Ok((socket, _)) = listener.accept().await else {
-            // Out of descriptors, most likely: wait for some to come free.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let _ = socket.set_nodelay(true);
-        let service = TowerToHyperService::new(routes.clone());
-        tokio::spawn(async move {
-            let served = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(stack.request)
-                .max_buf_size(HEAD_MOST)
-                .serve_connection(TokioIo::new(socket), service);
-            if let Err(e) = served.await {
-                tracing::debug!(target: "http", error = %e, "connection ended");
-            }
-            drop(permit);
-        });
-    }
-}
-
 /// Tells the controller when the player of a wish goes away before the answer.
 struct Waiting {
     id: u32,
@@ -133,6 +128,33 @@
     }
 }
 
+/// A wish that is held for a moment; one that ends without being asked about again was given up by its player.
+struct Held<'a>(Option<&'a Guard>);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        if let Some(guard) = self.0 {
+            guard.held_left();
+        }
+    }
+}
+
+/// Whether the guard takes a wish, now or after a hold; otherwise the wait that its player is told.
+async fn passes(guard: &Guard, asked: f64, wish: &Wish) -> Result<(), Span> {
+    let held = match guard.judge(asked, wish, false) {
+        Word::Take => return Ok(()),
+        Word::TurnBack { wait } => return Err(wait),
+        Word::Hold { span } => span,
+    };
+    let mut hold = Held(Some(guard));
+    tokio::time::sleep(Duration::from_secs_f64(held.seconds())).await;
+    hold.0 = None;
+    match guard.judge(asked, wish, true) {
+        Word::Take => Ok(()),
+        Word::Hold { span: wait } | Word::TurnBack { wait } => Err(wait),
+    }
+}
+
 async fn subscribe(State(serving): State<Serving>, request: Request) -> Response {
     let asked = serving.clock.now();
     let (head, body) = request.into_parts();
@@ -152,12 +174,45 @@
     if cmcd.skipped > 0 {
         tracing::debug!(target: "http", skipped = cmcd.skipped, "hints not valid");
     }
+    let near = "the controller is near its limit";
+    match head.extensions.get::<LetIn>() {
+        Some(LetIn(hint)) if hint.lane != wish.lane || hint.tenant != wish.tenant => {
+            let error = "the hint in the head names another lane or tenant than the wish; let them agree";
+            return not_taken(StatusCode::BAD_REQUEST, error, None);
+        }
+        // Judged at the doorway already.
+        Some(_) => {}
+        None => {
+            if let Some(guard) = &serving.guard {
+                if let Err(wait) = passes(guard, asked, &wish).await {
+                    let wait = serving.retry_after.map(|_| wait.seconds());
+                    return not_taken(StatusCode::SERVICE_UNAVAILABLE, near, wait);
+                }
+            }
+        }
+    }
     let id = serving.ids.fetch_add(1, Ordering::Relaxed);
     let (reply, said) = oneshot::channel();
-    let live = serving.live.contains(&wish.lane);
-    let sent = serving.wishes.try_send(Asked { id, asked, wish, cmcd, reply });
-    if let Err(TrySendError::Full(_) | TrySendError::Closed(_)) = sent {
-        return not_taken(StatusCode::SERVICE_UNAVAILABLE, "too many wishes wait", serving.retry_after);
+    let place = serving.lanes.iter().position(|(name, ..)| *name == wish.lane);
+    let live = place.is_some_and(|place| serving.lanes[place].2);
+    let cut_off = place.map_or(f64::INFINITY, |place| serving.lanes[place].1);
+    // Where nobody guards, a wish that is late is the module's to turn back.
+    let until = match &serving.guard {
+        Some(_) => asked + wish.give_up_in_s.filter(|s| s.is_finite()).unwrap_or(cut_off).min(cut_off),
+        None => f64::MAX / 1e12,
+    };
+    let lane = place.unwrap_or(0);
+    match serving.room.enter(lane, Point::at(until.min(1e12)), Asked { id, asked, wish, cmcd, reply }) {
+        Entered::Waits => {}
+        Entered::InPlaceOf(lost) => {
+            let wait = serving.guard.as_ref().map_or(Span::ZERO, |guard| guard.wait());
+            let _ = lost.reply.send(Err(Refusal::Overloaded { wait }));
+        }
+        Entered::Full(_) => {
+            let spread = serving.guard.as_ref().map(|guard| guard.wait().seconds());
+            let wait = serving.retry_after.map(|longest| spread.unwrap_or(longest));
+            return not_taken(StatusCode::SERVICE_UNAVAILABLE, "too many wishes wait", wait);
+        }
     }
     let mut waiting = Waiting { id, reports: serving.reports.clone(), answered: false };
     let said = said.await;
@@ -171,7 +226,7 @@
         }
         Ok(Err(Refusal::Overloaded { wait })) => {
             let wait = serving.retry_after.map(|_| wait.seconds());
-            not_taken(StatusCode::SERVICE_UNAVAILABLE, "the controller is near its limit", wait)
+            not_taken(StatusCode::SERVICE_UNAVAILABLE, near, wait)
         }
         Err(_) => not_taken(StatusCode::SERVICE_UNAVAILABLE, "the controller stops", serving.retry_after),
     }
@@ -261,7 +316,17 @@
     let (reply, figures) = oneshot::channel();
     let sent = serving.reports.send(Happened::State(reply)).await;
     match (sent, figures.await) {
-        (Ok(()), Ok(figures)) => Json::<Figures>(figures).into_response(),
+        (Ok(()), Ok(mut figures)) => {
+            figures.connections = serving.hall.counts();
+            if let Some(guard) = &serving.guard {
+                let view = guard.view();
+                figures.shed = guard.shed();
+                figures.shed_at_the_door = guard.at_the_door.load(Ordering::Relaxed);
+                figures.level = view.level;
+                figures.shedding = Some(view);
+            }
+            Json::<Figures>(figures).into_response()
+        }
         _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
     }
 }
--- a/crates/lemontide-front/src/settings.rs
+++ b/crates/lemontide-front/src/settings.rs
@@ -218,6 +218,16 @@
     /// Part of what is taken that each lane keeps at any load, in the order of `lanes`; 0 where it is left out.
     #[serde(default)]
     pub lane_shares: Vec<f64>,
+    /// A wish that is nearly taken may be held for so long before it is judged once more, in seconds.
+    #[serde(default = "hold")]
+    pub hold_s: f64,
+    /// Wishes of one lane that wait at most; as many as of all where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lane_waiting: Option<usize>,
+}
+
+fn hold() -> f64 {
+    0.1
 }
 
 /// Gossip with other controllers about who is there and which streamers fail.
@@ -254,8 +264,18 @@
 pub struct Limits {
     /// Wishes and subscriptions in hand.
     pub held: usize,
-    /// Connections of players.
+    /// Connections of players, and those from one network.
     pub connections: usize,
+    pub per_network: usize,
+    /// Leading bits of an address that name its network.
+    pub network_bits_v4: u8,
+    pub network_bits_v6: u8,
+    /// Wishes that wait for their turn; the newest is turned away beyond them, unless shedding is on and a lesser
+    /// one can give way.
+    pub waiting: usize,
+    /// A connection that asked nothing for so long is closed, and one that takes no bytes for so long.
+    pub idle_s: f64,
+    pub write_s: f64,
     /// Longest body of a wish, in bytes, and the time in which head and body must be there.
     pub body_bytes: usize,
     pub request_s: f64,
@@ -265,7 +285,19 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { held: 20_000, connections: 20_000, body_bytes: 16 * 1024, request_s: 5.0, stop_s: 10.0 }
+        Limits {
+            held: 20_000,
+            connections: 20_000,
+            per_network: 20_000,
+            network_bits_v4: 24,
+            network_bits_v6: 56,
+            waiting: 4096,
+            idle_s: 60.0,
+            write_s: 5.0,
+            body_bytes: 16 * 1024,
+            request_s: 5.0,
+            stop_s: 10.0,
+        }
     }
 }
 
@@ -403,6 +435,12 @@
             if shares.iter().any(|share| !(0.0..=1.0).contains(share)) || shares.iter().sum::<f64>() > 1.0 {
                 return wrong("shedding.lane_shares", "shares lie between 0 and 1, together at most 1");
             }
+            if !(shedding.hold_s.is_finite() && shedding.hold_s >= 0.0) || shedding.lane_waiting == Some(0) {
+                return wrong(
+                    "shedding.hold_s",
+                    "a hold is 0 s or more, and a lane's queue holds at least one",
+                );
+            }
         }
         if let Some(gossip) = &self.gossip {
             if gossip.bytes_per_s < 4 * 1024 {
@@ -419,13 +457,14 @@
             }
         }
         let limits = &self.limits;
-        if limits.held == 0
-            || limits.connections == 0
-            || limits.body_bytes == 0
-            || !positive(limits.request_s)
-        {
+        let counts = [limits.held, limits.connections, limits.per_network, limits.waiting, limits.body_bytes];
+        let times = [limits.request_s, limits.idle_s, limits.write_s];
+        if counts.contains(&0) || !times.into_iter().all(positive) {
             return wrong("limits", "every limit must be above 0");
         }
+        if limits.network_bits_v4 > 32 || limits.network_bits_v6 > 128 {
+            return wrong("limits.network_bits_v4", "an address has 32 bits, or 128 in IPv6");
+        }
         Ok(())
     }
 
@@ -507,6 +546,7 @@
             dial_timeout: Span::of(self.links.dial_timeout_s),
             look_timeout: Span::of(self.looks.timeout_s),
             held_most: self.limits.held,
+            flights: self.shedding.is_some(),
         }
     }
 }
--- a/crates/lemontide-shed/src/admit.rs
+++ b/crates/lemontide-shed/src/admit.rs
@@ -18,6 +18,13 @@
 const ANSWER: Span = Span::of_millis(50);
 /// Span over which a lane's share of what is taken is kept, in seconds.
 const SHARE_SPAN: f64 = 5.0;
+/// Wishes nearer to being taken than these odds are held for a moment instead of turned back.
+const HOLD_ODDS: f64 = 0.2;
+/// Wishes held at a time at most; and what a wish must have left after a hold, over the time of an answer.
+const HELD_MOST: usize = 256;
+const LEFT_AFTER: f64 = 3.0;
+/// How soon a lane's mean cost follows what its wishes cost.
+const COST_STEP: f64 = 0.02;
 /// Waits are spread from the least to so many times it.
 const SPREAD: f64 = 2.0;
 
@@ -38,11 +45,17 @@
     pub tenant_past_share: bool,
     /// What is left until the viewer's cut-off.
     pub left: Span,
+    /// It can't be held, or was held already.
+    pub at_once: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Word {
     Take,
+    /// Ask once more after this: the level may be lower by then, and the viewer has the time.
+    Hold {
+        span: Span,
+    },
     /// It would be answered too late, or there is no room: come again after this.
     TurnBack {
         wait: Span,
@@ -63,17 +76,49 @@
     rank: Vec<f64>,
     kept: Vec<Kept>,
     longest: Span,
+    hold: Span,
+    held: usize,
     chance: StdRng,
 }
 
 impl Gate {
-    /// `longest` is the longest wait that viewers follow.
-    pub fn new(now: Point, lanes: Vec<Lane>, longest: Span, seed: u64) -> Gate {
-        let worth = |lane: &Lane| lane.gain.max(0.0) / lane.cost.max(1e-9);
-        let most = lanes.iter().map(worth).fold(1e-9, f64::max);
-        let rank = lanes.iter().map(|lane| worth(lane) / most).collect();
+    /// `longest` is the longest wait that viewers follow, `hold` the longest hold; zero holds nobody.
+    pub fn new(now: Point, lanes: Vec<Lane>, longest: Span, hold: Span, seed: u64) -> Gate {
         let kept = lanes.iter().map(|_| Kept { taken: 0.0, at: now }).collect();
-        Gate { lanes, rank, kept, longest, chance: StdRng::seed_from_u64(seed) }
+        let rank = vec![0.0; lanes.len()];
+        let mut gate =
+            Gate { lanes, rank, kept, longest, hold, held: 0, chance: StdRng::seed_from_u64(seed) };
+        gate.set_ranks();
+        gate
+    }
+
+    fn set_ranks(&mut self) {
+        let worth = |lane: &Lane| lane.gain.max(0.0) / lane.cost.max(1e-9);
+        let most = self.lanes.iter().map(worth).fold(1e-9, f64::max);
+        for (rank, lane) in self.rank.iter_mut().zip(&self.lanes) {
+            *rank = worth(lane) / most;
+        }
+    }
+
+    /// What a wish of this lane cost once it was answered, in shots or any other unit that all lanes share.
+    pub fn cost(&mut self, lane: usize, cost: f64) {
+        let Some(lane) = self.lanes.get_mut(lane).filter(|_| cost.is_finite() && cost > 0.0) else { return };
+        lane.cost += (cost - lane.cost) * COST_STEP;
+        self.set_ranks();
+    }
+
+    /// Ranks of the lanes from 0 to 1 by gain over cost, and their stated shares.
+    pub fn ranks(&self) -> (&[f64], Vec<f64>) {
+        (&self.rank, self.lanes.iter().map(|lane| lane.share).collect())
+    }
+
+    /// A hold is over, or its player is gone.
+    pub fn held_over(&mut self) {
+        self.held = self.held.saturating_sub(1);
+    }
+
+    pub fn held(&self) -> usize {
+        self.held
     }
 
     fn lately(&self, now: Point, lane: usize) -> f64 {
@@ -101,8 +146,14 @@
         if wish.left < answer {
             return self.turn_back(level);
         }
-        let take = level <= 0.0 || self.lanes.is_empty() || self.passes(now, level, lane, wish);
-        if !take {
+        let odds =
+            if level <= 0.0 || self.lanes.is_empty() { 1.0 } else { self.odds(now, level, lane, wish) };
+        if self.chance.random::<f64>() >= odds {
+            let room = self.hold > Span::ZERO && !wish.at_once && self.held < HELD_MOST;
+            if room && odds >= HOLD_ODDS && wish.left > self.hold + answer * LEFT_AFTER {
+                self.held += 1;
+                return Word::Hold { span: self.hold * (0.5 + 0.5 * self.chance.random::<f64>()) };
+            }
             return self.turn_back(level);
         }
         if !self.lanes.is_empty() {
@@ -111,7 +162,8 @@
         Word::Take
     }
 
-    fn passes(&mut self, now: Point, level: f64, lane: usize, wish: Wish) -> bool {
+    /// How likely a wish is taken. Never rises with the level.
+    fn odds(&self, now: Point, level: f64, lane: usize, wish: Wish) -> f64 {
         let mut rank = self.rank[lane];
         if wish.tenant_past_share {
             rank *= PAST_SHARE;
@@ -120,23 +172,29 @@
             rank += RETURNING;
         }
         if level >= FULL {
-            return !wish.tenant_past_share
-                && self.is_starved(now, lane)
-                && self.chance.random::<f64>() < 0.2;
+            let fair = !wish.tenant_past_share && self.is_starved(now, lane);
+            return if fair { 0.1 } else { 0.0 };
         }
         // The threshold goes from under the least rank to over the highest; around it chance decides, so that
         // equal wishes are not all taken or all turned back.
         let threshold = level / FULL * (1.0 + 2.0 * SOFT) - SOFT;
         let odds = ((rank - threshold) / SOFT + 0.5).clamp(0.0, 1.0);
         let fair = !wish.tenant_past_share && self.is_starved(now, lane);
-        let odds = if fair { odds.max((1.0 - level / FULL).max(0.1)) } else { odds };
-        self.chance.random::<f64>() < odds
+        if fair {
+            odds.max((1.0 - level / FULL).max(0.1))
+        } else {
+            odds
+        }
     }
 
     /// Longer the fuller the controller is, and spread, so that nobody's return is another's burst.
-    fn turn_back(&mut self, level: f64) -> Word {
+    pub fn wait(&mut self, level: f64) -> Span {
         let least = self.longest * (level / FULL).clamp(0.3, 1.0) * (1.0 / SPREAD);
-        Word::TurnBack { wait: least * (1.0 + (SPREAD - 1.0) * self.chance.random::<f64>()) }
+        least * (1.0 + (SPREAD - 1.0) * self.chance.random::<f64>())
+    }
+
+    fn turn_back(&mut self, level: f64) -> Word {
+        Word::TurnBack { wait: self.wait(level) }
     }
 }
 
@@ -151,11 +209,11 @@
 
     fn gate(share: f64, seed: u64) -> Gate {
         let lane = |gain: f64| Lane { gain, cost: 1.0, share };
-        Gate::new(at(0.0), vec![lane(3.0), lane(1.0)], Span::of(2.0), seed)
+        Gate::new(at(0.0), vec![lane(3.0), lane(1.0)], Span::of(2.0), Span::ZERO, seed)
     }
 
     fn wish(lane: usize) -> Wish {
-        Wish { lane, returning: false, tenant_past_share: false, left: Span::of(3.0) }
+        Wish { lane, returning: false, tenant_past_share: false, left: Span::of(3.0), at_once: false }
     }
 
     /// Parts of each lane's wishes that are taken at a level, both coming alike.
@@ -204,6 +262,42 @@
         assert!(others > excess + 0.4, "{excess} of the tenant in excess, {others} of the others");
     }
 
+    #[test]
+    fn a_wish_near_the_threshold_is_held_once_and_holds_are_bounded() {
+        let lane = Lane { gain: 1.0, cost: 1.0, share: 0.0 };
+        let mut gate = Gate::new(at(0.0), vec![lane], Span::of(2.0), Span::of(0.2), 3);
+        let mut words = [0, 0, 0];
+        for _ in 0..2000 {
+            match gate.admit(at(0.0), 1.3, wish(0)) {
+                Word::Take => words[0] += 1,
+                Word::Hold { span } => {
+                    assert!(span >= Span::of(0.1) && span <= Span::of(0.2));
+                    words[1] += 1;
+                }
+                Word::TurnBack { .. } => words[2] += 1,
+            }
+        }
+        assert!(words[0] > 200 && words[1] == HELD_MOST && words[2] > 200, "{words:?}");
+        (0..HELD_MOST).for_each(|_| gate.held_over());
+        let again = Wish { at_once: true, ..wish(0) };
+        assert!((0..200).all(|_| !matches!(gate.admit(at(0.0), 1.3, again), Word::Hold { .. })));
+        let soon = Wish { left: Span::of(0.5), ..wish(0) };
+        assert!(
+            (0..200).all(|_| !matches!(gate.admit(at(0.0), 1.3, soon), Word::Hold { .. })),
+            "no time for it"
+        );
+    }
+
+    #[test]
+    fn a_lane_that_costs_more_ranks_lower() {
+        let mut gate = gate(0.0, 1);
+        assert_eq!(gate.ranks().0, [1.0, 1.0 / 3.0]);
+        (0..500).for_each(|_| gate.cost(0, 6.0));
+        gate.cost(0, f64::NAN);
+        let (ranks, _) = gate.ranks();
+        assert!(ranks[0] < 0.55 && ranks[1] == 1.0, "{ranks:?}");
+    }
+
     proptest! {
         /// Waits are within what viewers follow, and fifty controllers that shed at once don't name one moment.
         #[test]
--- a/crates/lemontide-shed/src/gauge.rs
+++ b/crates/lemontide-shed/src/gauge.rs
@@ -31,6 +31,14 @@
         self.value += (part - self.value) * (1.0 - (-passed / constant).exp());
     }
 
+    /// Takes a reading that is certain: it is believed at once, if it is higher.
+    pub fn jump(&mut self, now: Point, part: f64) {
+        if part.is_finite() && part > self.value(now).unwrap_or(0.0) {
+            self.value = part.clamp(0.0, 100.0);
+            self.at = Some(now);
+        }
+    }
+
     /// The smoothed figure; none where there is no fresh reading.
     pub fn value(&self, now: Point) -> Option<f64> {
         self.at.filter(|at| now - *at < STALE).map(|_| self.value)
--- a/crates/lemontide-shed/src/level.rs
+++ b/crates/lemontide-shed/src/level.rs
@@ -2,7 +2,7 @@
 //! tightest gauge tells, and the way down is held so that a steady load does not swing it.
 
 use crate::gauge::Gauge;
-use lemontide::clock::{Point, Span};
+use lemontide::clock::Point;
 use serde::{Deserialize, Serialize};
 
 /// What a controller can run out of.
@@ -13,6 +13,8 @@
     Delay,
     /// Wishes that wait, over their queue.
     Queue,
+    /// How late the sockets' loop runs, over what is allowed.
+    Loop,
     /// CPU of the process over its allowance.
     Cpu,
     /// Resident memory over its limit.
@@ -23,21 +25,24 @@
     Files,
 }
 
-pub const ALL: [What; 6] = [What::Delay, What::Queue, What::Cpu, What::Memory, What::Held, What::Files];
+pub const ALL: [What; 7] =
+    [What::Delay, What::Queue, What::Loop, What::Cpu, What::Memory, What::Held, What::Files];
 
 /// Shedding begins at this part of a limit, so that what is under way still fits. A queue that fills is late
 /// news, so it counts from earlier on.
-const BEGIN: [f64; 6] = [0.5, 0.25, 0.85, 0.85, 0.9, 0.9];
+const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.85, 0.85, 0.9, 0.9];
 /// The level falls by at most this much a second: recovery goes in steps, without a burst when it ends.
 const FALL_PER_S: f64 = 0.4;
 /// What a level may differ before it moves at all.
 const DEAD_BAND: f64 = 0.03;
+/// The level is never higher: from there it falls within a few seconds, however far over a gauge was.
+const MOST: f64 = 2.0;
 /// With no fresh gauge at all the level is taken to be this: careful, not closed.
 const BLIND: f64 = 0.5;
 
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    gauges: [Gauge; 6],
+    gauges: [Gauge; 7],
     level: f64,
     at: Option<Point>,
 }
@@ -64,26 +69,30 @@
     pub fn level(&mut self, now: Point) -> f64 {
         // A frozen process wakes with old gauges: they say nothing, and the level stays where it was.
         let wanted = match self.tightest(now) {
-            Some((_, pressure)) => pressure,
+            Some((_, pressure)) => pressure.min(MOST),
             None => self.level.max(BLIND),
         };
         let passed = self.at.map_or(f64::INFINITY, |at| (now - at).seconds().max(0.0));
         self.at = Some(now);
-        let least = self.level - FALL_PER_S * passed;
-        let moved = if wanted > self.level { wanted } else { wanted.max(least) };
-        // Inside the band it stays, unless that would keep it off the ground.
-        if (moved - self.level).abs() > DEAD_BAND || moved <= 0.0 || moved > self.level {
-            self.level = moved.max(0.0);
-        } else {
-            // Not moved: the time that passed must not be lost for the next fall.
-            self.at = self.at.map(|at| at - Span::of(passed.min(1.0)));
+        if wanted > self.level {
+            self.level = wanted;
+        } else if self.level - wanted > DEAD_BAND || wanted <= 0.0 {
+            // Inside the band it stays, unless that would keep it off the ground.
+            self.level = (self.level - FALL_PER_S * passed).max(wanted);
         }
         self.level
     }
 
-    /// Whether memory is what is short: then caches and history go, too.
-    pub fn memory_short(&self, now: Point) -> f64 {
-        self.pressure(now, What::Memory).unwrap_or(0.0)
+    /// How short memory is: below 0 where shedding for it has not begun, 1 at its limit.
+    pub fn memory_short(&self, now: Point) -> Option<f64> {
+        let begin = BEGIN[What::Memory as usize];
+        Some((self.gauges[What::Memory as usize].value(now)? - begin) / (1.0 - begin))
+    }
+
+    /// The process stood still for so long, as a part of the delay that is allowed: what came meanwhile waited.
+    /// The level rises at once, and falls from there in steps as always.
+    pub fn stood_still(&mut self, now: Point, part: f64) {
+        self.gauges[What::Delay as usize].jump(now, part.min(MOST));
     }
 
     /// All gauges for operators: their value and age in seconds.
@@ -141,7 +150,7 @@
         /// The level never falls because a gauge rose.
         #[test]
         fn the_level_is_monotone_in_each_gauge(
-            parts in proptest::collection::vec(0.0f64..3.0, 6), which in 0usize..6, more in 0.0f64..2.0,
+            parts in proptest::collection::vec(0.0f64..3.0, 7), which in 0usize..7, more in 0.0f64..2.0,
         ) {
             let level = |parts: &[f64]| {
                 let mut load = Load::default();
--- a/crates/lemontide-shed/src/lib.rs
+++ b/crates/lemontide-shed/src/lib.rs
@@ -1,7 +1,12 @@
-//! A controller that knows its own limit. `gauge` smooths what is measured of the process, `level` makes one level
-//! of load of it, `admit` says whom to take, to hold or to turn back at that level. No I/O: figures, time and
-//! chance come as arguments.
+//! A controller's own limits: how near it is to them, whom it then takes, who may come in at all, how much goes to
+//! a streamer at once. No I/O: readings, time and chance come as arguments.
 
 pub mod admit;
+pub mod door;
+pub mod flight;
 pub mod gauge;
+pub mod keeper;
 pub mod level;
+pub mod relief;
+pub mod room;
+pub mod tenants;
--- a/crates/lemontide-wire/src/lib.rs
+++ b/crates/lemontide-wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod cmcd;
 pub mod cmsd;
+pub mod hint;
 pub mod link;
 pub mod list;
 pub mod play;
