--- a/crates/lemontide-front/src/guard.rs
+++ b/crates/lemontide-front/src/guard.rs
@@ -24,7 +24,7 @@
 /// The beat by which the loop's own lateness is seen, and how many beats lie between two readings of `/proc`,
 /// which cost tens of microseconds.
 const BEAT: Duration = Duration::from_millis(10);
-const BEATS_A_READING: u32 = 10;
+const BEATS_A_READING: u32 = 5;
 /// When memory is short, connections that were idle for so long are closed, so many at a time.
 const IDLE_AT_RELIEF: Span = Span::of_millis(1000);
 const CLOSED_AT_ONCE: usize = 256;
@@ -138,6 +138,7 @@
 
     /// A wish got its turn, so long after it was read.
     pub fn waited(&self, s: f64) {
+        self.keeper().turn();
         self.waited_us.fetch_max((s.max(0.0) * 1e6) as u64, Ordering::Relaxed);
     }
 
--- a/crates/lemontide-shed/src/gauge.rs
+++ b/crates/lemontide-shed/src/gauge.rs
@@ -7,15 +7,23 @@
 /// Time constants of the smoothing, in seconds.
 const RISE: f64 = 0.15;
 const FALL: f64 = 0.6;
+/// Those of a gauge that is full in any burst without harm.
+const SLOW_RISE: f64 = 0.8;
 
 /// A figure as a part of its limit: 1 is at the limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauge {
     value: f64,
     at: Option<Point>,
+    slow: bool,
 }
 
 impl Gauge {
+    /// One whose rises are believed only as slowly as its falls: full for a moment is no harm there.
+    pub fn slow() -> Gauge {
+        Gauge { slow: true, ..Gauge::default() }
+    }
+
     /// Takes a reading, as a part of the limit. One that is no number is no reading.
     pub fn read(&mut self, now: Point, part: f64) {
         if !part.is_finite() {
@@ -27,7 +35,8 @@
             return;
         };
         let passed = (now - before).seconds().max(0.0);
-        let constant = if part > self.value { RISE } else { FALL };
+        let rise = if self.slow { SLOW_RISE } else { RISE };
+        let constant = if part > self.value { rise } else { FALL };
         self.value += (part - self.value) * (1.0 - (-passed / constant).exp());
     }
 
--- a/crates/lemontide-shed/src/level.rs
+++ b/crates/lemontide-shed/src/level.rs
@@ -40,13 +40,22 @@
 /// With no fresh gauge at all the level is taken to be this: careful, not closed.
 const BLIND: f64 = 0.5;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Load {
     gauges: [Gauge; 7],
     level: f64,
     at: Option<Point>,
 }
 
+impl Default for Load {
+    fn default() -> Load {
+        let mut gauges = [Gauge::default(); 7];
+        // A core that is busy for a tenth of a second is no sign of anything; delays tell of bursts.
+        gauges[What::Cpu as usize] = Gauge::slow();
+        Load { gauges, level: 0.0, at: None }
+    }
+}
+
 impl Load {
     pub fn read(&mut self, now: Point, what: What, part: f64) {
         self.gauges[what as usize].read(now, part);
@@ -65,7 +74,18 @@
         all.max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// The level as it is to be acted on now. Never falls where a gauge rises.
+    /// The tightest pressure as the rate follows it; none without any fresh gauge.
+    pub fn presses(&self, now: Point) -> Option<f64> {
+        self.tightest(now).map(|(_, pressure)| pressure.min(MOST))
+    }
+
+    /// The pressure of the tightest limit that must not be passed at all: memory, files and what is in hand.
+    pub fn presses_hard(&self, now: Point) -> f64 {
+        let hard = [What::Memory, What::Files, What::Held];
+        hard.iter().filter_map(|what| self.pressure(now, *what)).fold(0.0, f64::max)
+    }
+
+    /// The level as it is told and as waits follow it. Never falls where a gauge rises.
     pub fn level(&mut self, now: Point) -> f64 {
         // A frozen process wakes with old gauges: they say nothing, and the level stays where it was.
         let wanted = match self.tightest(now) {
--- a/crates/lemontide-shed/src/lib.rs
+++ b/crates/lemontide-shed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gauge;
 pub mod keeper;
 pub mod level;
+pub mod rate;
 pub mod relief;
 pub mod room;
 pub mod tenants;
--- /dev/null
+++ b/crates/lemontide-shed/src/rate.rs
@@ -0,0 +1,192 @@
+//! How many new wishes a second are taken while the controller is near its limit. It is found, not stated: cut
+//! below what gets done while a gauge presses, raised in steps while none does, and gone when it binds no more.
+
+use lemontide::clock::{Point, Span};
+
+/// Pressure of the tightest gauge at which the rate stays as it is; a limit is set when it is this much higher.
+const AIM: f64 = 0.5;
+const BINDS: f64 = 0.15;
+/// Cut of the rate for each unit of pressure over the aim, and how soon it comes into force, in seconds.
+const CUT: f64 = 0.15;
+const CUT_S: f64 = 0.6;
+/// Most growth a second where nothing presses, of the rate or of this part of the best that was seen.
+const GROWTH: f64 = 0.5;
+const FROM: f64 = 0.2;
+/// The limit goes when it was this much over what is asked, for so long.
+const OVER: f64 = 1.25;
+const CALM: Span = Span::of_millis(1000);
+/// Time constants of what gets done and is asked, and of forgetting the best, in seconds.
+const SEEN_S: f64 = 0.5;
+const BEST_S: f64 = 60.0;
+/// A gap between two beats from which the process stood still.
+const STOOD_STILL_S: f64 = 0.4;
+/// Never less a second, unless a limit is hard: how else would it be seen that there is room again?
+const LEAST: f64 = 2.0;
+/// From this pressure on a hard limit closes the door.
+const CLOSED: f64 = 1.0;
+
+#[derive(Clone, Debug)]
+pub struct Rate {
+    limit: Option<f64>,
+    /// Since the last beat, and a second.
+    turns: f64,
+    asks: f64,
+    done: f64,
+    asked: f64,
+    best: f64,
+    calm: Option<Point>,
+    at: Point,
+}
+
+impl Rate {
+    pub fn new(now: Point) -> Rate {
+        Rate { limit: None, turns: 0.0, asks: 0.0, done: 0.0, asked: 0.0, best: 0.0, calm: None, at: now }
+    }
+
+    /// A wish got its turn and was worked on.
+    pub fn turn(&mut self) {
+        self.turns += 1.0;
+    }
+
+    /// A wish came.
+    pub fn ask(&mut self) {
+        self.asks += 1.0;
+    }
+
+    /// Wishes a second that may be taken; none where there is no limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Called every tenth of a second or so, with the tightest gauge's pressure and that of the tightest limit
+    /// that must not be passed at all. Without any reading the rate stays as it is.
+    pub fn beat(&mut self, now: Point, pressure: Option<f64>, hard: f64) {
+        let passed = (now - self.at).seconds();
+        if passed <= 0.0 {
+            return;
+        }
+        self.at = now;
+        let (turns, asks) = (std::mem::take(&mut self.turns), std::mem::take(&mut self.asks));
+        // A process that stood still did nothing, which says nothing of what it can do.
+        if passed < STOOD_STILL_S {
+            let weight = 1.0 - (-passed / SEEN_S).exp();
+            self.done += (turns / passed - self.done) * weight;
+            self.asked += (asks / passed - self.asked) * weight;
+        }
+        self.best = (self.best * (1.0 - passed / BEST_S).max(0.0)).max(self.done);
+        let Some(pressure) = pressure else { return };
+        let least = if hard >= CLOSED { 0.0 } else { LEAST };
+        let over = pressure - AIM;
+        if over > 0.0 {
+            self.calm = None;
+            if self.limit.is_none() && over < BINDS {
+                return;
+            }
+            let aim = if hard >= CLOSED { 0.0 } else { self.done * (1.0 - CUT * over).max(0.0) };
+            let aim = aim.max(least);
+            // The first limit is in force at once; from then on it moves, and only down.
+            let limit = self.limit.unwrap_or(aim);
+            self.limit = Some(limit + (aim.min(limit) - limit) * (passed / CUT_S).min(1.0));
+            return;
+        }
+        let Some(limit) = self.limit else { return };
+        let step = limit.max(self.best * FROM).max(LEAST) * GROWTH * (-over / AIM).min(1.0);
+        self.limit = Some((limit + step * passed.min(1.0)).max(least));
+        if limit < self.asked * OVER {
+            self.calm = None;
+        } else if now - *self.calm.get_or_insert(now) >= CALM {
+            self.limit = None;
+            self.calm = None;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn at(s: f64) -> Point {
+        Point::at(1000.0 + s)
+    }
+
+    /// A server that does so many a second; what is over waits. Taken a second, in each second.
+    fn serve(capacity: f64, offered: impl Fn(f64) -> f64, seconds: usize) -> (Vec<f64>, Rate) {
+        let mut rate = Rate::new(at(0.0));
+        let (mut queue, mut taken) = (0.0f64, vec![0.0; seconds]);
+        for step in 0..seconds * 10 {
+            let now = step as f64 / 10.0;
+            let come = offered(now) / 10.0;
+            (0..come.round() as usize).for_each(|_| rate.ask());
+            let take = rate.limit().map_or(come, |limit| come.min(limit / 10.0));
+            queue += take;
+            taken[step / 10] += take;
+            let done = queue.min(capacity / 10.0);
+            queue -= done;
+            (0..done.round() as usize).for_each(|_| rate.turn());
+            // Delay over 0.1 s, and how busy it is.
+            let delay = (queue / capacity / 0.1 - 0.5) / 0.5;
+            let busy = (done * 10.0 / capacity - 0.85) / 0.15;
+            rate.beat(at(now + 0.1), Some(delay.max(busy).clamp(0.0, 2.0)), 0.0);
+        }
+        (taken, rate)
+    }
+
+    #[test]
+    fn under_overload_most_of_the_capacity_is_used_without_swings() {
+        let (taken, _) = serve(1000.0, |s| if s < 3.0 { 600.0 } else { 5000.0 }, 30);
+        let settled = &taken[10..];
+        let mean = settled.iter().sum::<f64>() / settled.len() as f64;
+        assert!((870.0..=1000.0).contains(&mean), "{mean}: {taken:?}");
+        let (low, high) = settled.iter().fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
+        assert!(high - low < 150.0, "{low} to {high}");
+    }
+
+    #[test]
+    fn it_is_gone_soon_after_the_burst_and_comes_back_in_steps() {
+        let (taken, rate) = serve(1000.0, |s| if (3.0..8.0).contains(&s) { 9000.0 } else { 600.0 }, 20);
+        assert_eq!(rate.limit(), None);
+        assert!(taken[12..].iter().all(|taken| *taken > 590.0), "{taken:?}");
+        assert!(taken.iter().skip(4).all(|taken| *taken < 1100.0), "{taken:?}");
+    }
+
+    #[test]
+    fn a_hard_limit_closes_and_a_blind_moment_changes_nothing() {
+        let mut rate = Rate::new(at(0.0));
+        rate.beat(at(0.1), Some(2.0), 1.5);
+        assert_eq!(rate.limit(), Some(0.0));
+        rate.beat(at(0.2), None, 0.0);
+        assert_eq!(rate.limit(), Some(0.0));
+        for tenth in 3..200 {
+            rate.beat(at(f64::from(tenth) / 10.0), Some(0.0), 0.0);
+        }
+        assert_eq!(rate.limit(), None, "it opens again");
+    }
+
+    proptest! {
+        /// Whatever the readings, the limit is a number, never under its least where no limit is hard, and more
+        /// pressure never leaves more of it.
+        #[test]
+        fn more_pressure_never_leaves_more(
+            beats in proptest::collection::vec((0.0f64..3.0, 0u8..50, 0u8..50), 1..100), more in 0.0f64..2.0,
+        ) {
+            let (mut one, mut other) = (Rate::new(at(0.0)), Rate::new(at(0.0)));
+            for (i, (pressure, asks, turns)) in beats.iter().enumerate() {
+                for rate in [&mut one, &mut other] {
+                    (0..*asks).for_each(|_| rate.ask());
+                    (0..*turns).for_each(|_| rate.turn());
+                }
+                let now = at((i + 1) as f64 / 10.0);
+                one.beat(now, Some(*pressure), 0.0);
+                other.beat(now, Some(*pressure + more), 0.0);
+                if let Some(limit) = one.limit() {
+                    prop_assert!(limit.is_finite() && limit >= LEAST);
+                }
+                let open = |rate: &Rate| rate.limit().unwrap_or(f64::INFINITY);
+                prop_assert!(open(&other) <= open(&one) + 1e-9, "{:?} {:?}", other.limit(), one.limit());
+                // Each goes on from the same: what came before must not tell.
+                other = one.clone();
+            }
+        }
+    }
+}
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what lemontide meets in service: scripted streamers and players, the days that they play, and
 //! the judge that checks the rules from taps alone.
 
+pub mod crowd;
 pub mod day;
 pub mod import;
 pub mod judge;
--- a/crates/lemontide-standin/src/load.rs
+++ b/crates/lemontide-standin/src/load.rs
@@ -7,6 +7,9 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use lemontide_wire::play::{Answer, Wish};
+use lemontide_wire::tap::{Kind, Tap, What};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -215,3 +218,201 @@
     all.took_s = began.elapsed().as_secs_f64();
     all
 }
+
+/// One lane of a mixed load.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    pub name: String,
+    pub gain: f64,
+    /// Its part of all wishes; the parts of all lanes add up to 1.
+    pub part: f64,
+}
+
+/// A load of several lanes, open: each wish at its due time, given up at its cut-off.
+#[derive(Clone)]
+pub struct Mix {
+    pub to: SocketAddr,
+    pub titles: Vec<String>,
+    pub lanes: Vec<Lane>,
+    /// Wishes a second from these moments on, in seconds from the start; the last moment is the end.
+    pub rate: Vec<(f64, f64)>,
+    pub goal_s: f64,
+    pub cut_off_s: f64,
+    /// Turned-back players come again so many times, after the wait that they are told.
+    pub again: u32,
+    /// The head says the lane.
+    pub hinted: bool,
+    /// Where the players' end is written down, and the number of the controller that they ask.
+    pub tap: Option<(Tap, usize)>,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Plays,
+    TurnedBack,
+    NotTaken,
+    Scrapped,
+    /// The answer was not there at the cut-off.
+    Late,
+    /// No connection, or it ended without an answer.
+    Broken,
+}
+
+/// What came of one wish.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    /// Seconds from the start at which it was due.
+    pub due: f64,
+    pub lane: usize,
+    /// 0 for the first time.
+    pub again: u32,
+    pub outcome: Outcome,
+    /// Seconds from its due time to the answer.
+    pub took: f64,
+}
+
+struct Player {
+    mix: Mix,
+    began: Instant,
+    idle: Mutex<Vec<Line>>,
+    records: Mutex<Vec<Record>>,
+}
+
+impl Player {
+    fn keep<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+        of.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// One wish. What came, its wait, and the subscription where it plays.
+    async fn ask(&self, number: usize, lane: usize, again: u32, due: Instant) -> (Outcome, Option<f64>) {
+        let mix = &self.mix;
+        let ask = format!("m{number}-{again}");
+        let title = &mix.titles[number % mix.titles.len()];
+        let at = due.saturating_duration_since(self.began).as_secs_f64();
+        if let Some((tap, controller)) = &mix.tap {
+            let now = tap.now();
+            tap.write_at(
+                now,
+                What::Ask {
+                    ask: ask.clone(),
+                    viewer: format!("v{number}"),
+                    controller: *controller,
+                    lane: mix.lanes[lane].name.clone(),
+                    title: title.clone(),
+                    goal: now + mix.goal_s,
+                    cut_off: now + mix.cut_off_s,
+                    top: 0,
+                    wanted: 1.0,
+                },
+            );
+        }
+        let until = due + Duration::from_secs_f64(mix.cut_off_s);
+        let exchange = async {
+            let kept = Player::keep(&self.idle).pop();
+            let mut line = match kept {
+                Some(line) if !line.is_closed() => line,
+                _ => connect(mix.to).await?,
+            };
+            let wish = Wish {
+                title: title.clone(),
+                lane: mix.lanes[lane].name.clone(),
+                ask: ask.clone(),
+                returned: again > 0,
+                give_up_in_s: Some(until.saturating_duration_since(Instant::now()).as_secs_f64()),
+                ..Wish::default()
+            };
+            let body = serde_json::to_vec(&wish).ok()?;
+            let mut request =
+                Request::builder().method(Method::POST).uri("/v1/subscriptions").header("host", "x");
+            if mix.hinted {
+                let returned = if again > 0 { ", returned" } else { "" };
+                request = request.header(lemontide_wire::hint::NAME, format!("lane={}{returned}", wish.lane));
+            }
+            let request = request.body(Full::new(Bytes::from(body))).ok()?;
+            line.ready().await.ok()?;
+            let response = line.send_request(request).await.ok()?;
+            let bytes = response.into_body().collect().await.ok()?.to_bytes();
+            Some((serde_json::from_slice::<Answer>(&bytes).ok()?, line))
+        };
+        let came = tokio::time::timeout_at(until, exchange).await;
+        let took = due.elapsed().as_secs_f64();
+        let (outcome, kind, wait, line) = match came {
+            Err(_) => (Outcome::Late, None, None, None),
+            Ok(None) => (Outcome::Broken, Some(Kind::None), None, None),
+            Ok(Some((answer, line))) => match answer {
+                Answer::Plays { subscription, .. } => {
+                    (Outcome::Plays, Some(Kind::Plays), None, Some((line, Some(subscription))))
+                }
+                Answer::TurnedBack { retry_after_s, .. } => {
+                    (Outcome::TurnedBack, Some(Kind::TurnedBack), retry_after_s, Some((line, None)))
+                }
+                Answer::NotTaken { retry_after_s, .. } => {
+                    (Outcome::NotTaken, Some(Kind::NotTaken), retry_after_s, Some((line, None)))
+                }
+                Answer::Scrapped { .. } => {
+                    (Outcome::Scrapped, Some(Kind::Scrapped), None, Some((line, None)))
+                }
+            },
+        };
+        if let Some((tap, _)) = &mix.tap {
+            match kind {
+                Some(kind) => tap.write(What::Answer { ask, kind }),
+                None => tap.write(What::Left { ask }),
+            }
+        }
+        Player::keep(&self.records).push(Record { due: at, lane, again, outcome, took });
+        if let Some((mut line, subscription)) = line {
+            if let Some(subscription) = subscription {
+                leave(&mut line, subscription).await;
+            }
+            Player::keep(&self.idle).push(line);
+        }
+        (outcome, wait)
+    }
+}
+
+/// Plays a mixed load to its end and the last answer. One record a wish.
+pub async fn mixed(mix: Mix) -> Vec<Record> {
+    let began = Instant::now();
+    let mut chance = StdRng::seed_from_u64(mix.seed);
+    let rates = mix.rate.clone();
+    let player = Arc::new(Player { mix, began, idle: Mutex::default(), records: Mutex::new(Vec::new()) });
+    let mut asks = JoinSet::new();
+    let mut number = 0;
+    for step in rates.windows(2) {
+        let ((from, per_s), (to, _)) = (step[0], step[1]);
+        for i in 0..((to - from) * per_s) as usize {
+            let due = began + Duration::from_secs_f64(from + i as f64 / per_s);
+            if due > Instant::now() {
+                tokio::time::sleep_until(due).await;
+            }
+            let mut drawn = chance.random::<f64>();
+            let lane = player.mix.lanes.iter().position(|lane| {
+                drawn -= lane.part;
+                drawn < 0.0
+            });
+            let lane = lane.unwrap_or(player.mix.lanes.len() - 1);
+            let player = player.clone();
+            asks.spawn(async move {
+                let mut due = due;
+                for again in 0..=player.mix.again {
+                    let (outcome, wait) = player.ask(number, lane, again, due).await;
+                    let Some(wait) = wait.filter(|_| {
+                        matches!(outcome, Outcome::TurnedBack | Outcome::NotTaken) && again < player.mix.again
+                    }) else {
+                        return;
+                    };
+                    tokio::time::sleep(Duration::from_secs_f64(wait.clamp(0.0, 10.0))).await;
+                    due = Instant::now();
+                }
+            });
+            number += 1;
+            while asks.try_join_next().is_some() {}
+        }
+    }
+    while asks.join_next().await.is_some() {}
+    let mut records = std::mem::take(&mut *Player::keep(&player.records));
+    records.sort_by(|a, b| a.due.total_cmp(&b.due));
+    records
+}
--- a/crates/lemontide-wire/src/tap.rs
+++ b/crates/lemontide-wire/src/tap.rs
@@ -238,6 +238,11 @@
         Tap { end: end.into(), ..self.clone() }
     }
 
+    /// The tap's clock, in seconds.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     pub fn write(&self, what: What) {
         self.write_at(self.clock.now(), what);
     }
