Shedding: a burst is met by what the CPU's allowance can do; links have a thread of their own

Ten times the load on a throttled controller showed that set-ups waited behind thousands of players' sockets and went back unsent, that a burst was taken whole before the first delay told, and that a connection costs as much as half a viewer. Links now run on their own thread, the HTTP stack is made for the first request that passes, and the rate stays under what the allowance can do by the cost seen while most is taken.

--- a/crates/lemontide-cli/src/measure/mod.rs
+++ b/crates/lemontide-cli/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod front;
 mod gossip;
 mod rig;
+mod shedding;
 
 use crate::Outcome;
 
@@ -15,6 +16,8 @@
     Front(front::Args),
     /// What gossip costs and brings: controllers with a liar among them, and large towns in virtual time.
     Gossip(gossip::Args),
+    /// What shedding keeps at many times the limit of a controller, against no shedding and a bounded queue.
+    Shedding(shedding::Args),
     /// Serve a constant answer; a baseline that `front` starts by itself.
     #[command(hide = true)]
     Constant,
@@ -24,6 +27,7 @@
     match what {
         What::Front(args) => front::run(&args),
         What::Gossip(args) => gossip::run(&args),
+        What::Shedding(args) => shedding::run(&args),
         What::Constant => rig::constant(),
     }
 }
--- a/crates/lemontide-front/src/connections.rs
+++ b/crates/lemontide-front/src/connections.rs
@@ -30,6 +30,8 @@
 
 /// Bytes of one request's head at most.
 const HEAD_MOST: usize = 16 * 1024;
+/// Bytes that are read at once before there is an HTTP stack.
+const FIRST_MOST: usize = 2048;
 /// An idle connection's age is told to the hall at most this often while its wishes are turned back.
 const TOLD_EVERY: Duration = Duration::from_millis(200);
 
@@ -167,8 +169,9 @@
             Ok::<_, std::convert::Infallible>(response)
         }
     });
-    let socket = Guarded {
+    let mut socket = Guarded {
         socket,
+        first: Vec::new(),
         doorway: Doorway::default(),
         guard,
         out: Vec::new(),
@@ -179,6 +182,15 @@
         stack,
         visit,
     };
+    // The HTTP stack is made for the first request that passes: who is only turned back never costs one.
+    let mut bytes = [0; FIRST_MOST];
+    let read = std::future::poll_fn(|cx| {
+        let mut buf = ReadBuf::new(&mut bytes);
+        let ready = Pin::new(&mut socket).poll_read(cx, &mut buf);
+        ready.map(|result| result.map(|()| buf.filled().len()))
+    });
+    let Ok(read @ 1..) = read.await else { return };
+    socket.first.extend_from_slice(&bytes[..read]);
     // Times of heads and of idling are kept below, where bytes that were answered at the doorway count, too.
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -206,6 +218,8 @@
 /// A player's socket as the HTTP stack sees it: without the wishes that are turned back before it.
 struct Guarded {
     socket: TcpStream,
+    /// What was read before there was an HTTP stack to take it.
+    first: Vec<u8>,
     doorway: Doorway,
     guard: Option<Arc<Guard>>,
     /// What of an answer of the doorway's own the socket did not take yet.
@@ -287,6 +301,12 @@
 impl AsyncRead for Guarded {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if !this.first.is_empty() {
+            let length = this.first.len().min(buf.remaining());
+            buf.put_slice(&this.first[..length]);
+            this.first.drain(..length);
+            return Poll::Ready(Ok(()));
+        }
         loop {
             ready!(this.drain(cx))?;
             let before = buf.filled().len();
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -146,7 +146,7 @@
             None => Tap::none(clock),
         };
         tap.write(What::Up { controller: settings.me });
-        let listener = tokio::net::TcpListener::bind(settings.listen).await?;
+        let listener = http::listen(settings.listen)?;
         let address = listener.local_addr()?;
         let seed = settings.seed.unwrap_or_else(rand::random);
         let (reports, reported) = mpsc::channel(REPORTS_MOST);
@@ -187,7 +187,13 @@
         }
         let before = http::Before { clock, room: room.clone(), guard: guard.clone(), hall };
         http::serve(listener, &settings, before, reports, stopped.clone(), asked_of_gossip);
-        let runtime = Handle::current();
+        // Streamers' links have a thread of their own: however many players press, what was decided leaves in time.
+        let links_run = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("links")
+            .enable_all()
+            .build()?;
+        let runtime = links_run.handle().clone();
         let stop_within = settings.limits.stop_s;
         let decides = std::thread::Builder::new().name("decides".into()).spawn(move || {
             let Ok(own) = tokio::runtime::Builder::new_current_thread().enable_time().build() else {
@@ -208,6 +214,7 @@
                 spent: Duration::ZERO,
             };
             own.block_on(decider.run(reported, stopped, stop_within));
+            links_run.shutdown_background();
         })?;
         Ok(Front { address, stop, decides })
     }
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -22,10 +22,12 @@
 use lemontide_wire::cmcd::{self, Cmcd};
 use lemontide_wire::cmsd;
 use lemontide_wire::play::{Answer, Wish};
+use std::io;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
@@ -55,6 +57,17 @@
     pub hall: Arc<Hall>,
 }
 
+/// Connections that the system keeps until they are accepted: who finds no place tries again a second later.
+const BACKLOG: u32 = 512;
+
+/// Listens for players.
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Bounds of the HTTP stack that the settings state.
 pub fn stack(settings: &Settings) -> Stack {
     let limits = &settings.limits;
--- a/crates/lemontide-shed/src/admit.rs
+++ b/crates/lemontide-shed/src/admit.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 /// The bucket holds what so many seconds bring, and one wish at least.
-const DEPTH_S: f64 = 0.2;
+const DEPTH_S: f64 = 0.1;
 /// The part of the bucket that the least of all lanes leaves to the best.
 const LEAVES: f64 = 0.6;
 /// A viewer who comes again was turned back or broken off before; it goes a little before a new one.
--- a/crates/lemontide-shed/src/gauge.rs
+++ b/crates/lemontide-shed/src/gauge.rs
@@ -5,7 +5,7 @@
 /// A figure that is older counts as missing.
 const STALE: Span = Span::of_millis(2000);
 /// Time constants of the smoothing, in seconds.
-const RISE: f64 = 0.15;
+const RISE: f64 = 0.05;
 const FALL: f64 = 0.6;
 /// Those of a gauge that is full in any burst without harm.
 const SLOW_RISE: f64 = 0.8;
--- a/crates/lemontide-shed/src/level.rs
+++ b/crates/lemontide-shed/src/level.rs
@@ -30,7 +30,7 @@
 
 /// Shedding begins at this part of a limit, so that what is under way still fits. A queue that fills is late
 /// news, so it counts from earlier on.
-const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.85, 0.85, 0.9, 0.9];
+const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.92, 0.85, 0.9, 0.9];
 /// The level falls by at most this much a second: recovery goes in steps, without a burst when it ends.
 const FALL_PER_S: f64 = 0.4;
 /// What a level may differ before it moves at all.
--- a/crates/lemontide-shed/src/rate.rs
+++ b/crates/lemontide-shed/src/rate.rs
@@ -1,5 +1,7 @@
 //! How many new wishes a second are taken while the controller is near its limit. It is found, not stated: cut
-//! below what gets done while a gauge presses, raised in steps while none does, and gone when it binds no more.
+//! below what gets done while a gauge presses, raised in steps while none does, and gone when it binds no more. At
+//! all times it stays under what the allowance of CPU can do by the least cost that was seen: a burst is met before
+//! its first delay.
 
 use lemontide::clock::{Point, Span};
 
@@ -8,6 +10,8 @@
 const BINDS: f64 = 0.15;
 /// Cut of the rate for each unit of pressure over the aim, and how soon it comes into force, in seconds.
 const CUT: f64 = 0.15;
+/// More of it for what a gauge is over its limit: there it has to become less, not only not more.
+const CUT_OVER: f64 = 0.2;
 const CUT_S: f64 = 0.6;
 /// Most growth a second where nothing presses, of the rate or of this part of the best that was seen.
 const GROWTH: f64 = 0.5;
@@ -20,8 +24,19 @@
 const BEST_S: f64 = 60.0;
 /// A gap between two beats from which the process stood still.
 const STOOD_STILL_S: f64 = 0.4;
-/// Never less a second, unless a limit is hard: how else would it be seen that there is room again?
+/// Never less a second, unless a limit is hard: how else would it be seen that there is room again? And never
+/// less than this part of the best: where turning back alone fills the controller, taking nothing helps nobody.
 const LEAST: f64 = 2.0;
+const LEAST_OF_BEST: f64 = 0.1;
+/// What the allowance can do is passed by so much: the estimate is no more than one. It is learned from this part
+/// of the allowance and this many wishes a second on, while most of what is asked is taken, with
+/// these time constants in seconds.
+const CEILING: f64 = 1.3;
+const CPU_LEAST: f64 = 0.15;
+const DONE_LEAST: f64 = 20.0;
+const CAN_S: f64 = 5.0;
+const TAKEN_LEAST: f64 = 0.8;
+const COST_S: f64 = 1.0;
 /// From this pressure on a hard limit closes the door.
 const CLOSED: f64 = 1.0;
 
@@ -34,13 +49,30 @@
     done: f64,
     asked: f64,
     best: f64,
+    /// Wishes a second that the whole allowance could do, by the least cost seen lately.
+    can: Option<f64>,
+    /// The last reading of the CPU; part of the allowance and what gets done a second, both averaged.
+    part: f64,
+    spent: (f64, f64),
     calm: Option<Point>,
     at: Point,
 }
 
 impl Rate {
     pub fn new(now: Point) -> Rate {
-        Rate { limit: None, turns: 0.0, asks: 0.0, done: 0.0, asked: 0.0, best: 0.0, calm: None, at: now }
+        Rate {
+            limit: None,
+            turns: 0.0,
+            asks: 0.0,
+            done: 0.0,
+            asked: 0.0,
+            best: 0.0,
+            can: None,
+            part: 0.0,
+            spent: (0.0, 0.0),
+            calm: None,
+            at: now,
+        }
     }
 
     /// A wish got its turn and was worked on.
@@ -55,7 +87,29 @@
 
     /// Wishes a second that may be taken; none where there is no limit.
     pub fn limit(&self) -> Option<f64> {
-        self.limit
+        let ceiling = self.can.map(|can| (can * CEILING).max(LEAST));
+        [self.limit, ceiling].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// A reading of the CPU, as a part of its allowance.
+    pub fn spends(&mut self, part: f64) {
+        if part.is_finite() {
+            self.part = part.clamp(0.0, 10.0);
+        }
+    }
+
+    /// Learns what the whole allowance could do. Both figures are averaged alike, so that neither runs ahead. Under
+    /// little load most of the CPU is not the wishes', so nothing is learned of their cost there.
+    fn learn(&mut self, passed: f64, done: f64) {
+        let weight = 1.0 - (-passed / COST_S).exp();
+        self.spent.0 += (self.part - self.spent.0) * weight;
+        self.spent.1 += (done - self.spent.1) * weight;
+        let (part, done) = self.spent;
+        if part >= CPU_LEAST && done >= DONE_LEAST {
+            let can = done / part;
+            let weight = 1.0 - (-passed / CAN_S).exp();
+            self.can = Some(self.can.map_or(can, |before| before + (can - before) * weight));
+        }
     }
 
     /// Called every tenth of a second or so, with the tightest gauge's pressure and that of the tightest limit
@@ -72,17 +126,22 @@
             let weight = 1.0 - (-passed / SEEN_S).exp();
             self.done += (turns / passed - self.done) * weight;
             self.asked += (asks / passed - self.asked) * weight;
+            // What is turned back costs, too, and what is behind will cost later: then it says nothing.
+            if self.limit.is_none() && turns >= asks * TAKEN_LEAST {
+                self.learn(passed, turns / passed);
+            }
         }
         self.best = (self.best * (1.0 - passed / BEST_S).max(0.0)).max(self.done);
         let Some(pressure) = pressure else { return };
-        let least = if hard >= CLOSED { 0.0 } else { LEAST };
+        let least = if hard >= CLOSED { 0.0 } else { LEAST.max(self.best * LEAST_OF_BEST) };
         let over = pressure - AIM;
         if over > 0.0 {
             self.calm = None;
             if self.limit.is_none() && over < BINDS {
                 return;
             }
-            let aim = if hard >= CLOSED { 0.0 } else { self.done * (1.0 - CUT * over).max(0.0) };
+            let cut = CUT * over + CUT_OVER * (pressure - 1.0).max(0.0);
+            let aim = if hard >= CLOSED { 0.0 } else { self.done * (1.0 - cut).max(0.0) };
             let aim = aim.max(least);
             // The first limit is in force at once; from then on it moves, and only down.
             let limit = self.limit.unwrap_or(aim);
@@ -163,6 +222,25 @@
         assert_eq!(rate.limit(), None, "it opens again");
     }
 
+    #[test]
+    fn the_allowance_bounds_a_burst_before_any_delay() {
+        let mut rate = Rate::new(at(0.0));
+        for tenth in 1..50 {
+            (0..10).for_each(|_| rate.turn());
+            rate.spends(0.25);
+            rate.beat(at(f64::from(tenth) / 10.0), Some(0.0), 0.0);
+        }
+        let limit = rate.limit().expect("it is known what can be done");
+        assert!((460.0..=530.0).contains(&limit), "{limit}: a hundred a second take a quarter");
+        // A moment in which much is turned back does not pull it down, nor does an idle one say anything.
+        for tenth in 50..80 {
+            (0..100).for_each(|_| rate.ask());
+            rate.spends(if tenth < 60 { 1.0 } else { 0.01 });
+            rate.beat(at(f64::from(tenth) / 10.0), Some(0.0), 0.0);
+        }
+        assert!(rate.limit().is_some_and(|now| now > limit * 0.98));
+    }
+
     proptest! {
         /// Whatever the readings, the limit is a number, never under its least where no limit is hard, and more
         /// pressure never leaves more of it.
