--- a/crates/lemontide-front/src/connections.rs
+++ b/crates/lemontide-front/src/connections.rs
@@ -375,6 +375,8 @@
             this.visit.state.store(RESTS, Ordering::Relaxed);
             let hall = &this.visit.hall;
             lock(&hall.door).idle(hall.now(), this.visit.id);
+            // The stack may not read again before bytes come: the time of resting is kept from here on.
+            let _ = this.keeps_time(cx);
         }
         Pin::new(&mut this.socket).poll_flush(cx)
     }
