--- a/crates/lemontide-shed/src/level.rs
+++ b/crates/lemontide-shed/src/level.rs
@@ -30,7 +30,10 @@
 
 /// Shedding begins at this part of a limit, so that what is under way still fits. A queue that fills is late
 /// news, so it counts from earlier on.
-const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.92, 0.85, 0.9, 0.9];
+const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.9, 0.85, 0.9, 0.9];
+/// From there to a pressure of 1. A CPU that is used up is no harm while nothing waits: at its allowance it only
+/// keeps the load from growing, past it it presses.
+const SPAN: [f64; 7] = [0.5, 0.75, 0.5, 0.2, 0.15, 0.1, 0.1];
 /// The level falls by at most this much a second: recovery goes in steps, without a burst when it ends.
 const FALL_PER_S: f64 = 0.4;
 /// What a level may differ before it moves at all.
@@ -63,9 +66,8 @@
 
     /// Where each gauge stands: 0 below where shedding begins, 1 at its limit.
     fn pressure(&self, now: Point, what: What) -> Option<f64> {
-        let begin = BEGIN[what as usize];
         let value = self.gauges[what as usize].value(now)?;
-        Some(((value - begin) / (1.0 - begin)).max(0.0))
+        Some(((value - BEGIN[what as usize]) / SPAN[what as usize]).max(0.0))
     }
 
     /// The tightest gauge, and its pressure.
@@ -105,8 +107,8 @@
 
     /// How short memory is: below 0 where shedding for it has not begun, 1 at its limit.
     pub fn memory_short(&self, now: Point) -> Option<f64> {
-        let begin = BEGIN[What::Memory as usize];
-        Some((self.gauges[What::Memory as usize].value(now)? - begin) / (1.0 - begin))
+        let memory = What::Memory as usize;
+        Some((self.gauges[memory].value(now)? - BEGIN[memory]) / SPAN[memory])
     }
 
     /// The process stood still for so long, as a part of the delay that is allowed: what came meanwhile waited.
