--- a/crates/lemontide-cli/src/measure/shedding.rs
+++ b/crates/lemontide-cli/src/measure/shedding.rs
@@ -40,6 +40,12 @@
     paid: f64,
     #[arg(long, default_value_t = 4.0)]
     gain: f64,
+    /// Leave out the baselines.
+    #[arg(long)]
+    only_shedding: bool,
+    /// Take this limit, in viewers a second, instead of finding it.
+    #[arg(long)]
+    limit: Option<f64>,
     /// Connections that are open before a load begins.
     #[arg(long, default_value_t = 1500)]
     connections: usize,
@@ -409,7 +415,10 @@
         args.core
     );
     println!("CPU of an answer: a viewer that plays, listens and leaves {set_up:.0} us; turned back at the doorway {at_door:.1} us, {:.3} of it; after parsing {parsed:.1} us, {:.3}", at_door / set_up, parsed / set_up);
-    let limit = find_limit(&rig)?;
+    let limit = match args.limit {
+        Some(limit) => limit,
+        None => find_limit(&rig)?,
+    };
     rig.allowance = allowance(&rig, limit)?;
     println!("cores that it got of {} when it had more to do: {:.3}", args.core, rig.allowance);
     println!("limit, without shedding: {limit:.0} viewers a second, {MARGIN} of the most with p99 under {LIMIT_P99_S} s");
@@ -419,6 +428,9 @@
     );
     let mut rows: Vec<(Variant, f64, Part)> = Vec::new();
     for (variant, name) in VARIANTS {
+        if args.only_shedding && variant != Variant::Sheds {
+            continue;
+        }
         for times in &args.times {
             let part = rig.steady(variant, limit, *times, args.seconds)?;
             let worth = limit * (args.paid * args.gain + 1.0 - args.paid);
--- a/crates/lemontide-shed/src/level.rs
+++ b/crates/lemontide-shed/src/level.rs
@@ -31,9 +31,9 @@
 /// Shedding begins at this part of a limit, so that what is under way still fits. A queue that fills is late
 /// news, so it counts from earlier on.
 const BEGIN: [f64; 7] = [0.5, 0.25, 0.5, 0.9, 0.85, 0.9, 0.9];
-/// From there to a pressure of 1. A CPU that is used up is no harm while nothing waits: at its allowance it only
-/// keeps the load from growing, past it it presses.
-const SPAN: [f64; 7] = [0.5, 0.75, 0.5, 0.2, 0.15, 0.1, 0.1];
+/// From there to a pressure of 1. A CPU that is used up is little harm while nothing waits: at its allowance it
+/// presses a little, past it as much as anything.
+const SPAN: [f64; 7] = [0.5, 0.75, 0.5, 0.12, 0.15, 0.1, 0.1];
 /// The level falls by at most this much a second: recovery goes in steps, without a burst when it ends.
 const FALL_PER_S: f64 = 0.4;
 /// What a level may differ before it moves at all.
--- a/crates/lemontide-shed/src/rate.rs
+++ b/crates/lemontide-shed/src/rate.rs
@@ -36,10 +36,11 @@
 /// of the allowance and this many wishes a second on, while most of what is asked is taken, with
 /// these time constants in seconds.
 const CEILING: f64 = 1.3;
-const CPU_LEAST: f64 = 0.5;
+const CPU_LEAST: f64 = 0.25;
 const DONE_LEAST: f64 = 20.0;
-const CAN_S: f64 = 5.0;
+const CAN_S: f64 = 2.0;
 const TAKEN_LEAST: f64 = 0.8;
+const DONE_IDLE: f64 = 1.0;
 const COST_S: f64 = 1.0;
 /// From this pressure on a hard limit closes the door.
 const CLOSED: f64 = 1.0;
@@ -58,6 +59,8 @@
     /// The last reading of the CPU; part of the allowance and what gets done a second, both averaged.
     part: f64,
     spent: (f64, f64),
+    /// Least part that was spent without wishes.
+    idle: Option<f64>,
     calm: Option<Point>,
     at: Point,
 }
@@ -74,6 +77,7 @@
             can: None,
             part: 0.0,
             spent: (0.0, 0.0),
+            idle: None,
             calm: None,
             at: now,
         }
@@ -109,8 +113,13 @@
         self.spent.0 += (self.part - self.spent.0) * weight;
         self.spent.1 += (done - self.spent.1) * weight;
         let (part, done) = self.spent;
+        if done < DONE_IDLE {
+            self.idle = Some(self.idle.map_or(part, |idle| idle.min(part)));
+        }
         if part >= CPU_LEAST && done >= DONE_LEAST {
-            let can = done / part;
+            // What is spent without any wish is not theirs.
+            let idle = self.idle.unwrap_or(0.0);
+            let can = done * (1.0 - idle) / (part - idle).max(0.05);
             let weight = 1.0 - (-passed / CAN_S).exp();
             self.can = Some(self.can.map_or(can, |before| before + (can - before) * weight));
         }
@@ -232,6 +241,7 @@
         let mut rate = Rate::new(at(0.0));
         for tenth in 1..50 {
             (0..10).for_each(|_| rate.turn());
+            (0..10).for_each(|_| rate.ask());
             rate.spends(0.6);
             rate.beat(at(f64::from(tenth) / 10.0), Some(0.0), 0.0);
         }
