--- a/crates/lemontide-front/src/connections.rs
+++ b/crates/lemontide-front/src/connections.rs
@@ -285,7 +285,9 @@
     }
 
     fn turn_back(&mut self, wait: Span) {
-        let bytes = answer("the controller is near its limit", Some(wait));
+        // Not every operator lets players be told when to come again.
+        let wait = self.guard.as_ref().filter(|guard| guard.tells_waits).map(|_| wait);
+        let bytes = answer("the controller is near its limit", wait);
         let wrote = self.socket.try_write(&bytes).unwrap_or(0);
         self.out.extend_from_slice(&bytes[wrote..]);
         self.since = Instant::now();
--- a/crates/lemontide-front/src/guard.rs
+++ b/crates/lemontide-front/src/guard.rs
@@ -40,6 +40,8 @@
     memory_bytes: f64,
     files: f64,
     held_most: f64,
+    /// Whether players may be told a wait.
+    pub tells_waits: bool,
     /// The longest wait for a turn since the last reading, in microseconds, and what is in hand.
     waited_us: AtomicU64,
     in_hand: AtomicUsize,
@@ -71,6 +73,7 @@
             memory_bytes: limits.memory_bytes,
             files: limits.files,
             held_most: settings.limits.held as f64,
+            tells_waits: settings.retry_after.allowed && settings.retry_after.longest_s > 0.0,
             waited_us: AtomicU64::new(0),
             in_hand: AtomicUsize::new(0),
             at_the_door: AtomicU64::new(0),
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -57,6 +57,8 @@
     pub hall: Arc<Hall>,
 }
 
+/// A wait that no lane's cut-off comes near.
+const UNBOUNDED_S: f64 = 1e6;
 /// Connections that the system keeps until they are accepted: who finds no place tries again a second later.
 const BACKLOG: u32 = 512;
 
@@ -211,11 +213,14 @@
     let cut_off = place.map_or(f64::INFINITY, |place| serving.lanes[place].1);
     // Where nobody guards, a wish that is late is the module's to turn back.
     let until = match &serving.guard {
-        Some(_) => asked + wish.give_up_in_s.filter(|s| s.is_finite()).unwrap_or(cut_off).min(cut_off),
-        None => f64::MAX / 1e12,
+        Some(_) => {
+            asked
+                + wish.give_up_in_s.filter(|s| s.is_finite()).unwrap_or(cut_off).min(cut_off).min(UNBOUNDED_S)
+        }
+        None => asked + UNBOUNDED_S,
     };
     let lane = place.unwrap_or(0);
-    match serving.room.enter(lane, Point::at(until.min(1e12)), Asked { id, asked, wish, cmcd, reply }) {
+    match serving.room.enter(lane, Point::at(until), Asked { id, asked, wish, cmcd, reply }) {
         Entered::Waits => {}
         Entered::InPlaceOf(lost) => {
             let wait = serving.guard.as_ref().map_or(Span::ZERO, |guard| guard.wait());
