--- a/crates/lemontide-front/src/guard.rs
+++ b/crates/lemontide-front/src/guard.rs
@@ -9,7 +9,7 @@
 use lemontide_shed::admit::{Lane, Word};
 use lemontide_shed::keeper::{Asked, Keeper, Terms, View};
 use lemontide_shed::level::What;
-use lemontide_shed::relief::Stage;
+use lemontide_shed::relief::{self, Stage};
 use lemontide_wire::clock::Clock;
 use lemontide_wire::hint::Hint;
 use lemontide_wire::play::Wish;
@@ -25,10 +25,6 @@
 /// which cost tens of microseconds.
 const BEAT: Duration = Duration::from_millis(10);
 const BEATS_A_READING: u32 = 5;
-/// When memory is short, connections that were idle for so long are closed, so many at a time.
-const IDLE_AT_RELIEF: Span = Span::of_millis(1000);
-const CLOSED_AT_ONCE: usize = 256;
-
 /// Stands before the driver where the settings ask for it. Shared by the sockets and the deciding thread.
 pub struct Guard {
     clock: Clock,
@@ -229,7 +225,7 @@
             };
             waiting.rank(&ranks, &shares);
             if stage >= Stage::Caches {
-                hall.close_idle(IDLE_AT_RELIEF, CLOSED_AT_ONCE);
+                hall.close_idle(relief::IDLE, relief::CLOSED_AT_ONCE);
             }
             if stage > before && stage >= Stage::Caches {
                 tracing::warn!(target: "shedding", ?stage, "memory is short");
--- a/crates/lemontide-shed/src/relief.rs
+++ b/crates/lemontide-shed/src/relief.rs
@@ -4,6 +4,9 @@
 use lemontide::clock::{Point, Span};
 use serde::{Deserialize, Serialize};
 
+/// As a cache goes what was idle for so long, so many connections at a time.
+pub const IDLE: Span = Span::of_millis(1000);
+pub const CLOSED_AT_ONCE: usize = 256;
 /// Pressure of memory at which caches and history go; 0 is where shedding begins, 1 is the limit.
 const CACHES: f64 = 0.4;
 const HISTORY: f64 = 0.75;
