Serve on the operators' platform: a desk without I/O and its sockets

The log of causes showed that no link broke and no process died. They were told to the module as broken, and the module took every broken ending for a fresh start (`Handle::ended` in src/control.rs), so a sound streamer stayed nearly unused for a warm-up.

--- a/crates/lemontide-cli/src/main.rs
+++ b/crates/lemontide-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod front;
 mod gossip;
 mod measure;
+mod serve;
 mod tools;
 
 use clap::{Parser, Subcommand};
@@ -30,6 +31,8 @@
 enum Command {
     /// Run one controller until it is told to stop.
     Front(front::Args),
+    /// Run one controller on the operators' platform, told by the environment what it is.
+    Serve,
     /// What a controller's gossip knows: members, suspicions, trust, budget.
     Gossip(gossip::Args),
     /// Run the stand-in streamers of a day and write the list that names them.
@@ -83,6 +86,7 @@
     }
     let outcome = match given.command {
         Command::Front(args) => front::run(&args),
+        Command::Serve => serve::run(),
         Command::Gossip(args) => gossip::run(&args),
         Command::Streamer(args) => day::streamer(&args),
         Command::Day(command) => day::run(command),
--- a/crates/lemontide-drill/src/main.rs
+++ b/crates/lemontide-drill/src/main.rs
@@ -1,7 +1,6 @@
 //! Runs lemontide's decision module on the drill's wire: batches on standard input, one reply line each on
 //! standard output. All of the wire's names are here; nothing is decided here.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -1,6 +1,5 @@
 //! Decodes the wire's events into calls on the decision module and encodes its results.
 
-use crate::settings;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
 use lemontide::interface::{Ending, Line, Load, Results, Stage, Wish};
@@ -156,7 +155,7 @@
         match name {
             "Attach" => {
                 let attach: Attach = decode(name, body)?;
-                let sheet = settings::sheet(&attach.config);
+                let sheet = lemontide_sheet::sheet(&attach.config);
                 let reports = attach.config.pointer("/report/names").and_then(Json::as_array);
                 let host = Host {
                     controller: Controller::start(now, attach.rng_seed, &sheet),
@@ -287,13 +286,7 @@
 fn load(reports: &[String], metrics: &[Json]) -> Load {
     let mut load = Load::default();
     for (name, value) in reports.iter().zip(metrics) {
-        match name.as_str() {
-            "busy_reqs" => load.streams = value.as_f64(),
-            "x0" => load.link = value.as_f64(),
-            "cpu_share" => load.link = load.link.or(value.as_f64()),
-            "x1" => load.rack = value.as_f64(),
-            _ => {}
-        }
+        lemontide_sheet::figure(&mut load, name, value.as_f64());
     }
     load
 }
--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -1,4 +1,5 @@
 //! The state of one link to a streamer: when it is dialled, what waits to be written, when it counts as lost.
+//! It is the same whatever the orders on it are: those of lemontide's own link, or a platform's messages.
 //! The I/O does what is said here and reports back under the number of the dial; reports of older dials are
 //! stale and change nothing.
 
@@ -25,8 +26,8 @@
 /// An order that waits or is being written. A set-up is named by `shot`, and must not be written any more after
 /// `not_after`: by then it is no longer what the module decided.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Queued {
-    pub order: Order,
+pub struct Queued<O = Order> {
+    pub order: O,
     pub shot: Option<(u32, u32)>,
     pub not_after: Option<Point>,
 }
@@ -59,21 +60,21 @@
     Lost,
 }
 
-pub struct Link {
+pub struct Link<O = Order> {
     /// Number of the last dial.
     pub dial: u64,
     state: State,
     failures: u32,
     dialled: Option<Point>,
-    queue: VecDeque<Queued>,
+    queue: VecDeque<Queued<O>>,
     /// Bounds set-ups under way, where the settings ask for it.
     pub flight: Option<Flight>,
     /// Whether the list still names it; one that is gone is not dialled again.
     pub wanted: bool,
 }
 
-impl Link {
-    pub fn new(now: Point) -> Link {
+impl<O> Link<O> {
+    pub fn new(now: Point) -> Link<O> {
         let state = State::Down { redial: now };
         Link {
             dial: 0,
@@ -132,7 +133,7 @@
     }
 
     /// Puts an order in the queue; false where there is no room.
-    pub fn push(&mut self, order: Queued) -> bool {
+    pub fn push(&mut self, order: Queued<O>) -> bool {
         let room = self.queue.len() < QUEUE_MOST;
         if room {
             self.queue.push_back(order);
@@ -142,7 +143,7 @@
 
     /// The next orders to write, once the last ones are written. A set-up that the streamer has no room for now
     /// stays behind; orders of what plays go before it.
-    pub fn batch(&mut self, now: Point) -> Vec<Queued> {
+    pub fn batch(&mut self, now: Point) -> Vec<Queued<O>> {
         let State::Up { writing: writing @ None, .. } = &mut self.state else { return Vec::new() };
         let batch: Vec<_> = match &mut self.flight {
             None => self.queue.drain(..self.queue.len().min(BATCH_MOST)).collect(),
@@ -246,7 +247,7 @@
     }
 
     fn up() -> Link {
-        let mut link = Link::new(at(0.0));
+        let mut link: Link = Link::new(at(0.0));
         link.start_dial(at(0.0), Span::of_millis(250));
         link.up(at(0.0));
         link
@@ -313,7 +314,7 @@
 
     #[test]
     fn redials_back_off_and_spread() {
-        let mut link = Link::new(at(0.0));
+        let mut link: Link = Link::new(at(0.0));
         let mut now = at(0.0);
         let mut waits = Vec::new();
         for _ in 0..8 {
--- /dev/null
+++ b/crates/lemontide-platform/src/serve.rs
@@ -0,0 +1,250 @@
+//! Ties the controller together on the platform: sockets, signals and the list come to one loop that owns the desk,
+//! on one thread; what the desk wants done goes out to the tasks that own the sockets.
+
+use crate::codec::Message;
+use crate::config::{Config, Environment, Hosts};
+use crate::desk::{Desk, Effect, Terms};
+use crate::{journal, streamers, viewers};
+use lemontide::clock::{Point, Span};
+use lemontide::interface::{number, text, Sheet};
+use lemontide_front::core::Queued;
+use lemontide_wire::clock::Clock;
+use std::collections::HashMap;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
+
+/// Reports that wait for the loop; a connection whose report finds no room is not read on until it does.
+const REPORTS_MOST: usize = 256;
+/// Reports taken between two looks at the timers.
+const ROUND: usize = 128;
+/// Messages that wait for a viewers' connection before it is cut off, and batches for a streamer's.
+const SAY_MOST: usize = 1024;
+const ORDERS_MOST: usize = 4;
+/// Descriptors that are neither viewers' nor streamers': the runtime's, the listener, the journal service, logs.
+const OWN_SOCKETS: usize = 24;
+/// Subscriptions and wishes in hand at most. Guards against memory filled by those who only ask.
+const HELD_MOST: usize = 4096;
+/// With nothing left in hand, a stopping process goes no sooner than this: new set-ups come for as long.
+const STOP_LEAST: Span = Span::of_millis(1200);
+/// And it never outlasts this: by then the longest cut-off is over.
+const STOP_MOST: Span = Span::of_millis(8000);
+
+/// What the desk itself needs to know of the settings.
+pub fn terms(sheet: &Sheet, settings: &serde_json::Value, sockets: usize) -> Terms {
+    let named = |list: &'static str| {
+        (0..).map_while(move |i| Some((i, text(sheet, &format!("{list}.{i}.name"))?.to_owned())))
+    };
+    let cut_off = |i| Span::of(number(sheet, &format!("lanes.{i}.cut_off")).unwrap_or(5.0));
+    let limit = |name: &str| settings.pointer(&format!("/policy_limits/{name}")).and_then(|v| v.as_f64());
+    Terms {
+        lanes: named("lanes").map(|(i, name)| (name, cut_off(i))).collect(),
+        tenants: named("tenants").map(|(_, name)| name).collect(),
+        cells: number(sheet, "cells").unwrap_or(1.0).max(1.0) as usize,
+        rungs: lemontide::interface::row(sheet, "ladder.kb").len().max(1),
+        dial_timeout: Span::of(limit("dial_timeout").unwrap_or(0.25)),
+        set_ups_a_link: limit("streams_per_conn").unwrap_or(32.0).max(1.0) as usize,
+        // Viewers hold a third of the descriptors at most; as many again are for the streamers.
+        links_most: sockets / 3,
+        held_most: HELD_MOST,
+    }
+}
+
+/// Runs one controller until the platform stops it.
+pub fn run() -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let environment = Environment::read()?;
+    let mut config = Config::read(&environment.config)?;
+    config.listen = environment.listen.unwrap_or(config.listen);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let listener = TcpListener::bind(config.listen).await.map_err(|e| {
+            format!("{}: {e}; RELAY_LISTEN must be a free address of this machine", config.listen)
+        })?;
+        Ok(serve(listener, config, Some(environment.config)).await?)
+    })
+}
+
+/// Where batches for a streamer's connection go, and the number of its dial.
+type Orders = (u64, mpsc::Sender<Vec<Queued<Message>>>);
+
+/// The tasks that own the sockets, by what the desk calls them.
+struct Sockets {
+    clock: Clock,
+    dial_timeout: Duration,
+    viewers: HashMap<u64, mpsc::Sender<Message>>,
+    links: HashMap<u64, Orders>,
+    from_viewers: mpsc::Sender<viewers::Report>,
+    from_streamers: mpsc::Sender<streamers::Report>,
+}
+
+impl Sockets {
+    /// Does what the desk left to be done.
+    fn carry_out(&mut self, now: Point, desk: &mut Desk) {
+        while !desk.effects.is_empty() {
+            for effect in std::mem::take(&mut desk.effects) {
+                match effect {
+                    Effect::Say { conn, message } => {
+                        let say = self.viewers.get(&conn);
+                        if say.is_some_and(|say| say.try_send(message).is_err()) {
+                            // It does not read what is said to it.
+                            desk.part(now, conn);
+                        }
+                    }
+                    Effect::Part { conn } => {
+                        self.viewers.remove(&conn);
+                    }
+                    Effect::Dial { link, dial, address } => {
+                        let (orders, ordered) = mpsc::channel(ORDERS_MOST);
+                        self.links.insert(link, (dial, orders));
+                        let to = streamers::Dial { link, dial, address, timeout: self.dial_timeout };
+                        tokio::spawn(streamers::run(self.clock, to, ordered, self.from_streamers.clone()));
+                    }
+                    Effect::Write { link, dial, orders } => {
+                        let wire = self.links.get(&link).filter(|wire| wire.0 == dial);
+                        // The desk hands over one batch at a time: there is always room, or nobody is left.
+                        let _ = wire.map(|wire| wire.1.try_send(orders));
+                    }
+                    Effect::Hang { link, dial } => {
+                        if self.links.get(&link).is_some_and(|wire| wire.0 == dial) {
+                            self.links.remove(&link);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
+        match report {
+            viewers::Report::Said { conn, message } => desk.viewer_said(now, conn, message),
+            viewers::Report::Gone { conn } => {
+                self.viewers.remove(&conn);
+                desk.viewer_gone(now, conn);
+            }
+        }
+    }
+
+    fn of_streamer(&mut self, now: Point, desk: &mut Desk, report: streamers::Report) {
+        match report {
+            streamers::Report::Linked { link, dial } => desk.linked(now, link, dial),
+            streamers::Report::Wrote { link, dial, unsent } => desk.wrote(now, link, dial, unsent),
+            streamers::Report::Told { link, dial, message } => desk.told(now, link, dial, message),
+            streamers::Report::Lost { link, dial, loss } => {
+                if self.links.get(&link).is_some_and(|wire| wire.0 == dial) {
+                    self.links.remove(&link);
+                }
+                desk.lost(now, link, dial, loss);
+            }
+        }
+    }
+}
+
+/// Serves on a listener until SIGTERM; `file` is read again on SIGHUP.
+pub async fn serve(listener: TcpListener, config: Config, file: Option<PathBuf>) -> io::Result<()> {
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let clock = Clock::start();
+    let now = || Point::at(clock.now());
+    let sheet = lemontide_sheet::sheet(&config.settings);
+    let terms = terms(&sheet, &config.settings, config.limits.sockets);
+    let viewers_most = config.limits.sockets.saturating_sub(OWN_SOCKETS + terms.links_most).max(1);
+    let (from_viewers, mut viewers_said) = mpsc::channel(REPORTS_MOST);
+    let (from_streamers, mut streamers_said) = mpsc::channel(REPORTS_MOST);
+    let (news, mut list) = mpsc::channel::<Hosts>(REPORTS_MOST);
+    let mut sockets = Sockets {
+        clock,
+        dial_timeout: Duration::from_secs_f64(terms.dial_timeout.seconds()),
+        viewers: HashMap::new(),
+        links: HashMap::new(),
+        from_viewers,
+        from_streamers,
+    };
+    let mut desk = Desk::start(now(), config.seed(), &sheet, terms);
+    for event in &config.known.entries {
+        desk.learn(now(), &event.hosts);
+    }
+    let (address, moved) = watch::channel(config.journal.clone());
+    let journal = tokio::spawn(journal::follow(moved, config.known.pos, news));
+    tracing::debug!(target: "config", settings = %config.settings, known = ?config.known);
+    tracing::info!(listen = %config.listen, streamers = desk.streamers(), "serves");
+    let mut next_conn = 0;
+    let mut stops: Option<Point> = None;
+    loop {
+        sockets.carry_out(now(), &mut desk);
+        if let Some(since) = stops {
+            let gone = now() - since;
+            if gone >= STOP_MOST || gone >= STOP_LEAST && desk.in_hand() == 0 {
+                break;
+            }
+        }
+        let due = Instant::from_std(clock.instant(lemontide_front::core::seconds(desk.next())));
+        tokio::select! {
+            biased;
+            Some(report) = streamers_said.recv() => {
+                sockets.of_streamer(now(), &mut desk, report);
+                for _ in 0..ROUND {
+                    let Ok(report) = streamers_said.try_recv() else { break };
+                    sockets.of_streamer(now(), &mut desk, report);
+                }
+            }
+            Some(hosts) = list.recv() => desk.learn(now(), &hosts),
+            () = sleep_until(due) => {}
+            Some(report) = viewers_said.recv() => {
+                sockets.of_viewer(now(), &mut desk, report);
+                for _ in 0..ROUND {
+                    let Ok(report) = viewers_said.try_recv() else { break };
+                    sockets.of_viewer(now(), &mut desk, report);
+                }
+            }
+            accepted = listener.accept() => {
+                match accepted {
+                    Ok((socket, _)) => {
+                        if sockets.viewers.len() >= viewers_most {
+                            if let Some(conn) = desk.spare() {
+                                desk.part(now(), conn);
+                            }
+                        }
+                        next_conn += 1;
+                        let (say, said) = mpsc::channel(SAY_MOST);
+                        sockets.viewers.insert(next_conn, say);
+                        desk.viewer_up(now(), next_conn);
+                        tokio::spawn(viewers::run(next_conn, socket, said, sockets.from_viewers.clone()));
+                    }
+                    Err(e) => {
+                        // Out of descriptors: one that is idle makes room, and others get time to end.
+                        tracing::warn!(error = %e, "can't accept");
+                        if let Some(conn) = desk.spare() {
+                            desk.part(now(), conn);
+                        }
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                }
+            }
+            Some(()) = hang_up.recv() => {
+                if let Some(file) = &file {
+                    match Config::read(file) {
+                        Ok(again) => {
+                            tracing::info!(journal = again.journal, "configuration read again");
+                            let _ = address.send(again.journal);
+                        }
+                        Err(e) => tracing::error!(error = e, "the configuration stays as it was"),
+                    }
+                }
+            }
+            Some(()) = terminate.recv() => {
+                tracing::info!(in_hand = desk.in_hand(), "stops");
+                stops.get_or_insert(now());
+                desk.stop(now());
+            }
+        }
+        if now() >= desk.next() {
+            desk.tick(now());
+        }
+    }
+    journal.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -0,0 +1,244 @@
+//! A desk with scripted links and viewers, in virtual time: what it writes is kept, what it says is counted.
+#![allow(dead_code)] // each test program uses its own part
+
+use bytes::Bytes;
+use lemontide::clock::{Point, Span};
+use lemontide::interface::Load;
+use lemontide_platform::codec::{cause, Body, Figures, Message, SetUp};
+use lemontide_platform::config::{Entry, Hosts};
+use lemontide_platform::desk::{Desk, Effect, Loss};
+use lemontide_platform::serve;
+use serde_json::{json, Value as Json};
+use std::collections::{BTreeMap, HashMap};
+
+pub const STREAMERS: usize = 4;
+pub const VIEWERS: u64 = 1;
+
+/// Settings as the platform hands them out; four streamers that hold every title, three shots.
+pub fn settings() -> Json {
+    let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 1, "hard_limit": 3, "effect": effect});
+    json!({
+        "me": 0, "peers_total": 1, "zone": "here", "areas": ["here"], "kinds": ["std"],
+        "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
+        "tenants": [{"name": "acme", "quota_per_s": 1000, "share": 1}],
+        "family_info": {"kind_slots": [3000], "positions": STREAMERS, "lowest_rung": [0, 0], "top_by_class": [2, 2],
+            "class_scale": [1, 1], "rung_kb": [200, 400, 800], "worth_by_rung": [0.3, 0.6, 1.0],
+            "kb_per_weight": 1e7, "rack_link_kb": 1e8, "racks": 1, "seen_after": 1, "told_every": 3},
+        "policy_limits": {"try_limit": 3, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
+            "streams_per_conn": 32},
+        "rules": {"cold": 10, "cold_from": 0.5, "fall_multiple": 2.5, "fall": 1}
+    })
+}
+
+pub fn entry(at: usize, state: &str) -> Entry {
+    Entry {
+        id: format!("s{at}"),
+        addr: format!("127.0.0.1:{}", 9000 + at),
+        zone: "here".into(),
+        kind: "std".into(),
+        cell: at,
+        state: state.into(),
+        weight: Some(1.0),
+        started_ms: 0.0,
+    }
+}
+
+pub fn wish(lane: &str) -> SetUp {
+    let figures = Figures { home: 0, copies: STREAMERS, top: 2, again: false, at: None };
+    SetUp {
+        lane: lane.into(),
+        tenant: "acme".into(),
+        title: "t".into(),
+        wait_ms: 3000,
+        figures: Some(figures),
+        description: Bytes::from_static(b"asked"),
+        ..SetUp::default()
+    }
+}
+
+pub struct World {
+    pub desk: Desk,
+    pub now: Point,
+    /// All that was written to streamers, with the link, in order.
+    pub written: Vec<(u64, Message)>,
+    pub said: Vec<(u64, Message)>,
+    pub parted: Vec<u64>,
+    pub dials: BTreeMap<u64, u64>,
+    pub address: HashMap<u64, String>,
+    /// Links that were told to hang up.
+    pub hung: Vec<u64>,
+    /// How dials of these addresses end; the rest come through.
+    pub away: HashMap<String, Loss>,
+    next: u64,
+}
+
+impl World {
+    /// Young controllers hold back, so the world begins a while after the start.
+    pub fn new() -> World {
+        let now = Point::at(1000.0);
+        let sheet = lemontide_sheet::sheet(&settings());
+        let terms = serve::terms(&sheet, &settings(), 256);
+        let mut world = World {
+            desk: Desk::start(now, 7, &sheet, terms),
+            now,
+            written: Vec::new(),
+            said: Vec::new(),
+            parted: Vec::new(),
+            dials: BTreeMap::new(),
+            address: HashMap::new(),
+            hung: Vec::new(),
+            away: HashMap::new(),
+            next: 100,
+        };
+        let servers = (0..STREAMERS).map(|at| entry(at, "in_service")).collect();
+        world.learn(&Hosts { full: true, servers });
+        world.desk.viewer_up(now, VIEWERS);
+        world.pass(20.0);
+        world
+    }
+
+    pub fn learn(&mut self, hosts: &Hosts) {
+        self.desk.learn(self.now, hosts);
+        self.perform();
+    }
+
+    pub fn news(&mut self, entry: Entry) {
+        self.learn(&Hosts { full: false, servers: vec![entry] });
+    }
+
+    /// Sends a set-up on a connection; its number.
+    pub fn ask_on(&mut self, conn: u64, set_up: SetUp) -> u64 {
+        self.next += 1;
+        self.say(conn, self.next, Body::SetUp(set_up));
+        self.next
+    }
+
+    pub fn ask(&mut self, lane: &str) -> u64 {
+        self.ask_on(VIEWERS, wish(lane))
+    }
+
+    pub fn say(&mut self, conn: u64, session: u64, body: Body) {
+        self.desk.viewer_said(self.now, conn, Message { session, body });
+        self.perform();
+    }
+
+    /// A subscription that plays, and the link that it was set up on.
+    pub fn playing(&mut self, lane: &str) -> (u64, u64) {
+        let session = self.ask(lane);
+        let link = self.shot(session).expect("it was sent").0;
+        self.answer(session);
+        (session, link)
+    }
+
+    /// The last set-up of this session and the link it went over.
+    pub fn shot(&self, session: u64) -> Option<(u64, SetUp)> {
+        self.written.iter().rev().find_map(|(link, message)| match &message.body {
+            Body::SetUp(set_up) if message.session == session => Some((*link, set_up.clone())),
+            _ => None,
+        })
+    }
+
+    pub fn shots(&self, session: u64) -> usize {
+        let of = |(_, m): &&(u64, Message)| m.session == session && matches!(m.body, Body::SetUp(_));
+        self.written.iter().filter(of).count()
+    }
+
+    /// Releases written to streamers for this session.
+    pub fn released(&self, session: u64) -> usize {
+        let of = |(_, m): &&(u64, Message)| m.session == session && matches!(m.body, Body::Release { .. });
+        self.written.iter().filter(of).count()
+    }
+
+    /// The streamer of the last shot says something.
+    pub fn tell(&mut self, session: u64, body: Body) {
+        let (link, _) = self.shot(session).expect("it was sent");
+        self.tell_on(link, session, body);
+    }
+
+    pub fn tell_on(&mut self, link: u64, session: u64, body: Body) {
+        let dial = self.dials.get(&link).copied().unwrap_or(0);
+        self.desk.told(self.now, link, dial, Message { session, body });
+        self.perform();
+    }
+
+    pub fn answer(&mut self, session: u64) {
+        let description = Bytes::from_static(b"answered");
+        self.tell(session, Body::Answer { description, load: Load::default() });
+    }
+
+    pub fn ends(&mut self, session: u64, why: u8) {
+        self.tell(session, Body::release(why));
+    }
+
+    pub fn loses(&mut self, link: u64, loss: Loss) {
+        let dial = self.dials.get(&link).copied().unwrap_or(0);
+        self.desk.lost(self.now, link, dial, loss);
+        self.perform();
+    }
+
+    /// All that was said to viewers under this number.
+    pub fn heard(&self, session: u64) -> Vec<&Body> {
+        self.said.iter().filter(|(_, m)| m.session == session).map(|(_, m)| &m.body).collect()
+    }
+
+    /// The one answer so far, by its cause; 0 is that it plays.
+    pub fn answered(&self, session: u64) -> Option<u8> {
+        match self.heard(session)[..] {
+            [] => None,
+            [Body::Answer { description, .. }] => {
+                assert_eq!(&description[..], b"answered", "passed on unchanged");
+                Some(0)
+            }
+            [Body::Release { cause, .. }] => Some(*cause),
+            ref more => panic!("one answer, not {more:?}"),
+        }
+    }
+
+    pub fn pass(&mut self, seconds: f64) {
+        let until = self.now + Span::of(seconds);
+        while self.now < until {
+            self.now = self.now + Span::of_millis(10);
+            // Streamers pass tests, so that links stay up.
+            for (link, dial) in self.dials.clone() {
+                let test = Message { session: 0, body: Body::Tested { passed: true } };
+                if !self.away.contains_key(&self.address[&link]) {
+                    self.desk.told(self.now, link, dial, test);
+                }
+            }
+            if self.now >= self.desk.next() {
+                self.desk.tick(self.now);
+            }
+            self.perform();
+        }
+    }
+
+    pub fn perform(&mut self) {
+        while !self.desk.effects.is_empty() {
+            for effect in std::mem::take(&mut self.desk.effects) {
+                match effect {
+                    Effect::Say { conn, message } => self.said.push((conn, message)),
+                    Effect::Part { conn } => self.parted.push(conn),
+                    Effect::Dial { link, dial, address } => {
+                        self.dials.insert(link, dial);
+                        let away = self.away.get(&address).copied();
+                        self.address.insert(link, address);
+                        match away {
+                            Some(loss) => self.desk.lost(self.now, link, dial, loss),
+                            None => self.desk.linked(self.now, link, dial),
+                        }
+                    }
+                    Effect::Write { link, dial, orders } => {
+                        assert_eq!(self.dials.get(&link), Some(&dial), "written on what is up");
+                        self.written.extend(orders.into_iter().map(|queued| (link, queued.order)));
+                        self.desk.wrote(self.now, link, dial, Vec::new());
+                    }
+                    Effect::Hang { link, .. } => self.hung.push(link),
+                }
+            }
+        }
+    }
+
+    pub fn is_refusal(why: u8) -> bool {
+        [cause::FULL, cause::TURNED_BACK, cause::MOOT].contains(&why)
+    }
+}
--- a/crates/lemontide-drill/src/settings.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -1,6 +1,7 @@
-//! Turns the wire's nested settings into the module's plain map, wire names into ours.
+//! Turns the wire's nested settings into the module's plain map, and named figures of load into the module's
+//! `Load`; wire names become ours. Used by every adapter that is handed these settings.
 
-use lemontide::interface::{Sheet, Value};
+use lemontide::interface::{Load, Sheet, Value};
 use serde_json::Value as Json;
 
 /// Where the wire keeps a setting, and what we call it; lists keep their index behind the name.
@@ -101,3 +102,14 @@
         sheet.insert(name, value);
     }
 }
+
+/// Reads one named figure of a load report into `load`; unknown names are skipped.
+pub fn figure(load: &mut Load, name: &str, value: Option<f64>) {
+    match name {
+        "busy_reqs" => load.streams = value,
+        "x0" => load.link = value,
+        "cpu_share" => load.link = load.link.or(value),
+        "x1" => load.rack = value,
+        _ => {}
+    }
+}
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod liar;
 pub mod load;
 pub mod model;
+pub mod platform;
 pub mod player;
 pub mod run;
 pub mod streamer;
--- /dev/null
+++ b/crates/lemontide-standin/src/platform.rs
@@ -0,0 +1,106 @@
+//! Scripted ends of the operators' platform for tests, on loopback: viewers, a streamer, and a journal service.
+//! Every wait ends.
+
+use futures::{SinkExt, StreamExt};
+use lemontide_platform::codec::{Body, Codec, Message};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+/// Longer than anything should take, so that a wait that fails says so.
+pub const SOON: Duration = Duration::from_secs(10);
+
+fn late<T>(_: T) -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, "nothing came in time")
+}
+
+/// One end of a connection that speaks the platform's messages.
+pub struct End(Framed<TcpStream, Codec>);
+
+impl End {
+    /// A viewer's connection to a controller; it is tried until the controller listens.
+    pub async fn viewer(at: SocketAddr) -> io::Result<End> {
+        let dial = async {
+            loop {
+                match TcpStream::connect(at).await {
+                    Ok(socket) => return End(Framed::new(socket, Codec)),
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                }
+            }
+        };
+        timeout(SOON, dial).await.map_err(late)
+    }
+
+    /// The next connection that a controller opens to this streamer.
+    pub async fn streamer(at: &TcpListener) -> io::Result<End> {
+        let (socket, _) = timeout(SOON, at.accept()).await.map_err(late)??;
+        Ok(End(Framed::new(socket, Codec)))
+    }
+
+    pub async fn say(&mut self, session: u64, body: Body) -> io::Result<()> {
+        self.0.send(Message { session, body }).await
+    }
+
+    /// Bytes as they are, be they a message or not.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.get_mut().write_all(bytes).await
+    }
+
+    /// The next message; an error where the other end closes, or says nothing.
+    pub async fn hear(&mut self) -> io::Result<Message> {
+        match timeout(SOON, self.0.next()).await.map_err(late)? {
+            Some(message) => message,
+            None => Err(io::ErrorKind::UnexpectedEof.into()),
+        }
+    }
+
+    /// The next message that is no test; tests are passed.
+    pub async fn news(&mut self) -> io::Result<Message> {
+        loop {
+            let message = self.hear().await?;
+            if message.body != Body::Test {
+                return Ok(message);
+            }
+            self.say(message.session, Body::Tested { passed: true }).await?;
+        }
+    }
+
+    /// Whether the other end closes, whatever it says before.
+    pub async fn closes(&mut self) -> bool {
+        loop {
+            match self.hear().await {
+                Ok(_) => {}
+                Err(e) => return e.kind() != io::ErrorKind::TimedOut,
+            }
+        }
+    }
+}
+
+/// A journal service: the test says what is told on each connection.
+pub struct Journal(TcpListener);
+
+impl Journal {
+    pub async fn start() -> io::Result<Journal> {
+        Ok(Journal(TcpListener::bind(("127.0.0.1", 0)).await?))
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// The next reader, and the number after which it asks.
+    pub async fn reader(&self) -> io::Result<(TcpStream, u64)> {
+        let (mut socket, _) = timeout(SOON, self.0.accept()).await.map_err(late)??;
+        let mut ask = Vec::new();
+        while !ask.ends_with(b"\n") {
+            ask.push(timeout(SOON, socket.read_u8()).await.map_err(late)??);
+        }
+        let ask = String::from_utf8_lossy(&ask);
+        let last = ask.trim_end().strip_prefix("tail ").and_then(|n| n.parse().ok());
+        last.map(|last| (socket, last)).ok_or_else(|| io::Error::other(format!("not an ask: {ask}")))
+    }
+}
--- /dev/null
+++ b/crates/lemontide-standin/tests/platform.rs
@@ -0,0 +1,168 @@
+//! The controller on the platform's sockets, on loopback: one whole subscription, and what odd ends do.
+
+use bytes::Bytes;
+use lemontide::interface::Load;
+use lemontide_platform::codec::{cause, Body, Figures, SetUp};
+use lemontide_platform::config::Config;
+use lemontide_platform::serve::serve;
+use lemontide_standin::platform::{End, Journal, SOON};
+use serde_json::json;
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+fn server(id: &str, address: SocketAddr, state: &str) -> serde_json::Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "a", "kind": "std", "cell": 0, "state": state,
+        "weight": 1, "started_ms": 0})
+}
+
+/// A controller that knows one streamer, which the test plays itself.
+struct World {
+    at: SocketAddr,
+    streamer: TcpListener,
+    journal: Journal,
+    reader: TcpStream,
+    link: End,
+}
+
+async fn start() -> World {
+    let streamer = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let journal = Journal::start().await.expect("a free port");
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.set_nonblocking(true).expect("it can wait");
+    let at = listener.local_addr().expect("it is bound");
+    let known = server("s0", streamer.local_addr().expect("it is bound"), "in_service");
+    let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 1, "hard_limit": 3, "effect": effect});
+    let config: Config = serde_json::from_value(json!({
+        "listen": at, "seed": "7", "limits": {"sockets": 64},
+        "journal": journal.address().expect("it is bound").to_string(),
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"full": true, "servers": [known]}}]},
+        "settings": {
+            "me": 0, "peers_total": 1, "zone": "a", "kinds": ["std"],
+            "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
+            "family_info": {"kind_slots": [300], "positions": 1, "lowest_rung": [0, 0], "top_by_class": [1, 1],
+                "class_scale": [1, 1], "rung_kb": [100, 200], "worth_by_rung": [0.5, 1], "kb_per_weight": 1e6,
+                "racks": 1, "rack_link_kb": 1e6, "seen_after": 1, "told_every": 3},
+            "policy_limits": {"try_limit": 2, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25},
+            // No warm-up here: a new controller would hold back for half of it.
+            "rules": {"cold": 0, "cold_from": 1, "fall_multiple": 2, "fall": 1}
+        }
+    }))
+    .expect("the configuration is valid");
+    // The controller's loop stays on one thread, its own.
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::from_std(listener).expect("a listener of this runtime");
+            serve(listener, config, None).await
+        })
+    });
+    let link = End::streamer(&streamer).await.expect("it dials what it knows");
+    let (reader, last) = journal.reader().await.expect("it asks");
+    assert_eq!(last, 1);
+    World { at, streamer, journal, reader, link }
+}
+
+fn set_up(lane: &str) -> Body {
+    let figures = Figures { home: 0, copies: 1, top: 1, again: false, at: None };
+    Body::SetUp(SetUp {
+        lane: lane.into(),
+        tenant: "acme".into(),
+        title: "t".into(),
+        wait_ms: 2000,
+        figures: Some(figures),
+        description: Bytes::from_static(b"asked"),
+        ..SetUp::default()
+    })
+}
+
+fn answer() -> Body {
+    Body::Answer { description: Bytes::from_static(b"made"), load: Load::default() }
+}
+
+#[tokio::test]
+async fn a_subscription_is_set_up_plays_and_ends() {
+    let mut world = start().await;
+    let mut viewer = End::viewer(world.at).await.expect("it listens");
+    viewer.say(9, Body::Test).await.expect("sent");
+    assert_eq!(viewer.hear().await.expect("told").body, Body::Tested { passed: true });
+    viewer.say(7, set_up("paid")).await.expect("sent");
+    let came = world.link.news().await.expect("shot");
+    assert!(matches!(&came.body, Body::SetUp(s) if s.rung.is_some() && s.description == "asked"), "{came:?}");
+    world.link.say(7, answer()).await.expect("sent");
+    assert_eq!(viewer.hear().await.expect("told").body, answer());
+    world.link.say(7, Body::release(cause::NORMAL)).await.expect("sent");
+    assert_eq!(viewer.hear().await.expect("told").body, Body::release(cause::NORMAL));
+}
+
+#[tokio::test]
+async fn what_can_not_be_read_or_never_ends_is_closed_and_others_go_on() {
+    let mut world = start().await;
+    let mut all = Vec::new();
+    for odd in [&b"\x00\x00"[..], b"\xff\xff\x01\x00", b"\x00\x40\x01half a message", b""] {
+        let mut bad = End::viewer(world.at).await.expect("it listens");
+        bad.write(odd).await.expect("sent");
+        all.push((odd, bad));
+    }
+    for (odd, mut bad) in all {
+        assert!(bad.closes().await, "{odd:?}");
+    }
+    let mut again = End::viewer(world.at).await.expect("it listens");
+    again.say(8, set_up("free")).await.expect("sent");
+    assert_eq!(world.link.news().await.expect("shot").session, 8);
+}
+
+#[tokio::test]
+async fn a_spoilt_answer_ends_its_connection_and_the_shot_may_have_run() {
+    let mut world = start().await;
+    let mut viewer = End::viewer(world.at).await.expect("it listens");
+    viewer.say(7, set_up("paid")).await.expect("sent");
+    world.link.news().await.expect("shot");
+    world.link.write(b"\x00\x1f\x09stops short").await.expect("sent");
+    let said = viewer.hear().await.expect("told");
+    assert_eq!(said.body, Body::release(cause::BROKEN), "scrapped, as it may have run");
+    assert!(End::streamer(&world.streamer).await.is_ok(), "the streamer is dialled again");
+}
+
+#[tokio::test]
+async fn many_silent_connections_make_room_for_viewers() {
+    let world = start().await;
+    let mut silent = Vec::new();
+    for _ in 0..100 {
+        silent.push(TcpStream::connect(world.at).await.expect("it accepts"));
+    }
+    let mut viewer = End::viewer(world.at).await.expect("it listens");
+    viewer.say(9, Body::Test).await.expect("sent");
+    assert_eq!(viewer.hear().await.expect("told").body, Body::Tested { passed: true });
+}
+
+#[tokio::test]
+async fn the_list_is_followed_over_breaks_and_a_drain_is_obeyed() {
+    let mut world = start().await;
+    let address = world.streamer.local_addr().expect("it is bound");
+    world.reader.write_all(b"{\"pos\":2,\"hosts\":{\"ful").await.expect("sent");
+    drop(world.reader);
+    let (mut reader, last) = world.journal.reader().await.expect("it asks again");
+    assert_eq!(last, 1, "half an event is none");
+    let event =
+        json!({"pos": 2, "hosts": {"full": false, "servers": [server("s0", address, "terminating")]}});
+    reader.write_all(format!("{event}\n{event}\n{{\"pos\":2}}\n").as_bytes()).await.expect("sent");
+    let mut viewer = End::viewer(world.at).await.expect("it listens");
+    // The list travels apart from the wishes: ask until it is in.
+    let turned_back = async {
+        for session in 1.. {
+            viewer.say(session, set_up("free")).await.expect("sent");
+            tokio::select! {
+                shot = world.link.news() => world.link.say(shot.expect("shot").session, answer()).await.expect("sent"),
+                said = viewer.hear() => match said.expect("told").body {
+                    Body::Release { cause, .. } => return cause,
+                    other => panic!("{other:?}"),
+                },
+            }
+            viewer.hear().await.expect("told");
+        }
+        0
+    };
+    assert_eq!(timeout(SOON, turned_back).await.expect("within the bound"), cause::TURNED_BACK);
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -689,17 +689,21 @@
         let Some(held) = self.find(on) else { return };
         let (at, rung, lane) = (held.streamer, held.rung, held.lane);
         let finished = over || matches!(held.state, State::Playing | State::Left);
+        let played = held.state == State::Playing;
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
         on.book(now, at, -on.rate(lane, rung), -1.0);
         if let Some(streamer) = on.streamers.get_mut(at) {
             match ending {
-                Ending::Errored | Ending::TimedOut | Ending::NoConnection => streamer.weigh(now, BAD),
-                // A broken stream was held by a process that is no more: it restarts cold, if at all.
-                Ending::Broken => {
+                // A broken stream was held by a process that is no more: it restarts cold, if at all. A shot that
+                // broke on its way says nothing of that. Symptom: one reset, and a sound streamer is left unused.
+                Ending::Broken if played => {
                     streamer.weigh(now, BAD);
                     streamer.started = streamer.started.max(Some(now));
                 }
+                Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken => {
+                    streamer.weigh(now, BAD);
+                }
                 Ending::SentBack => streamer.full_until = now + Span::of(1.0),
                 _ => {}
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -434,3 +434,23 @@
         "confirmed here"
     );
 }
+
+/// One set-up that broke on its way made a sound streamer count as cold, and it stayed unused for a warm-up.
+#[test]
+fn only_a_broken_stream_means_a_fresh_start() {
+    for (played, fresh) in [(false, false), (true, true)] {
+        let now = Point::at(1000.0);
+        let mut on = Controller::start(now - seconds(100.0), 7, &sheet(1, 6, &[]));
+        on.learn(now, &[line(0, Stage::Ready, None)], true);
+        let held = on.take(now, &wish(1, FREE, "t", 0, now + seconds(3.0)));
+        if played {
+            held.plays(&mut on, now);
+        }
+        held.ended(&mut on, now, Ending::Broken, true, Load::default());
+        on.results.clear();
+        // Past the doubt, within the warm-up, and in the turn of other numbers.
+        let later = now + seconds(6.0);
+        on.take(later, &wish(2, FREE, "t", 0, later + seconds(3.0)));
+        assert_eq!(on.results.shots.is_empty(), fresh, "played: {played}");
+    }
+}
