A wish that fails everywhere condemns nobody; floods end at the desk

None of the 53 wishes that errored played later, none of their titles ever played, while 88% of the good starts are of a title that has played before: bad clients ask for titles that no streamer knows, and a free wish carries its error to five of them. Excluded: broken links (none), and failing streamers (the errors lie evenly over all of them).

In `Handle::ended` every error counted against the streamer. Now a wish that errors at a second streamer takes its first error back, and later ones count against nobody. The same log showed one connection sending the same number 200 times in 20 ms, and 200 wishes at once; each was a first try of its tenant for `Tenant::within`. `Desk::set_up` now refuses a number that was turned away on the same connection and ends it, and holds 64 open a connection.

Each test was seen to fail with its fault put back.

--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -30,6 +30,12 @@
 /// A release that no connection could take is kept for so long.
 const OWED_FOR: Span = Span::of_millis(8000);
 const OWED_MOST: usize = 4096;
+/// Set-ups owed an answer on one viewers' connection at most. Guards against hundreds at once on one: a usual one
+/// carries a few, and some forty while every streamer stands still.
+const OPEN_MOST: usize = 64;
+/// So many of the last numbers are remembered on each viewers' connection. Guards against those who send the same
+/// set-up again as soon as it is turned away: the platform gives every set-up a new number.
+const NUMBERS_KEPT: usize = 32;
 /// After SIGTERM set-ups are taken as usual for so long; what comes later is turned back.
 const LAST_CALL: Span = Span::of_millis(600);
 
@@ -137,6 +143,8 @@
     /// A subscription was set up on it.
     good: bool,
     said: Point,
+    /// The last set-ups that were turned away on it.
+    turned_away: VecDeque<u64>,
 }
 
 pub struct Desk {
@@ -307,7 +315,7 @@
     // Viewers.
 
     pub fn viewer_up(&mut self, now: Point, conn: u64) {
-        self.conns.insert(conn, Conn { open: 0, good: false, said: now });
+        self.conns.insert(conn, Conn { open: 0, good: false, said: now, turned_away: VecDeque::new() });
     }
 
     /// A viewers' connection is over: what was asked on it and not answered is owed to nobody.
@@ -381,6 +389,15 @@
         self.say(conn, session, Body::release(cause::UNUSABLE));
     }
 
+    /// Remembers a number that was turned away on a connection.
+    fn turn_away(&mut self, conn: u64, session: u64) {
+        let Some(from) = self.conns.get_mut(&conn) else { return };
+        if from.turned_away.len() >= NUMBERS_KEPT {
+            from.turned_away.pop_front();
+        }
+        from.turned_away.push_back(session);
+    }
+
     /// What is wrong with a set-up, as far as the settings tell.
     fn wrong(&self, set_up: &SetUp) -> Option<&'static str> {
         let Some(figures) = &set_up.figures else { return Some("no figures") };
@@ -400,6 +417,7 @@
     }
 
     fn set_up(&mut self, now: Point, conn: u64, session: u64, set_up: SetUp) {
+        tracing::debug!(target: "decision", session = format!("{session:016x}"), conn, ?set_up);
         let why = if session == 0 { Some("no id") } else { self.wrong(&set_up) };
         let plays_at = set_up.figures.as_ref().and_then(|figures| figures.at.clone());
         if let Some(why) = why {
@@ -458,8 +476,18 @@
         if self.by_session.contains_key(&session) {
             return self.refuse(now, conn, session);
         }
+        let from = self.conns.get(&conn);
+        if from.is_some_and(|from| from.turned_away.contains(&session)) {
+            self.refuse(now, conn, session);
+            if self.conns.get(&conn).is_some_and(|from| from.open == 0) {
+                self.part(now, conn);
+            }
+            return;
+        }
+        let crowded = from.is_none_or(|from| from.open >= OPEN_MOST);
         let late = self.stops.is_some_and(|since| now - since > LAST_CALL);
-        if late || self.held.len() >= self.terms.held_most {
+        if late || crowded || self.held.len() >= self.terms.held_most {
+            self.turn_away(conn, session);
             return self.say(conn, session, Body::release(cause::TURNED_BACK));
         }
         let handle = self.module.take(now, &wish);
@@ -675,6 +703,7 @@
         held.playing = Some(now);
         held.set_up.description = Bytes::new();
         let (handle, conn, session) = (held.handle, held.conn, held.session);
+        tracing::debug!(target: "decision", session = format!("{session:016x}"), streamer = &*held.at, answered = true);
         handle.plays(&mut self.module, now);
         if load.link.is_some() || load.rack.is_some() {
             handle.load(&mut self.module, now, load);
@@ -888,6 +917,7 @@
     /// The one answer of a wish that came to nothing.
     fn finish(&mut self, id: u32, body: Body) {
         let Some(held) = self.remove(id) else { return };
+        self.turn_away(held.conn, held.session);
         tracing::debug!(
             target: "decision",
             session = format!("{:016x}", held.session), lane = held.set_up.lane, shots = held.shots, ?body
--- a/crates/lemontide-platform/tests/desk.rs
+++ b/crates/lemontide-platform/tests/desk.rs
@@ -233,6 +233,34 @@
     assert_eq!((world.parted.clone(), world.desk.in_hand()), (vec![VIEWERS], 0));
 }
 
+/// One connection sent the same wish two hundred times, and the module counted each for its tenant.
+#[test]
+fn the_same_again_after_a_turn_back_ends_its_connection() {
+    let mut world = World::new();
+    for at in 0..STREAMERS {
+        world.news(entry(at, "terminating"));
+    }
+    let session = world.ask("free");
+    assert_eq!(world.answered(session), Some(cause::TURNED_BACK));
+    world.say(VIEWERS, session, Body::SetUp(wish("free")));
+    assert_eq!(world.heard(session).len(), 2);
+    assert!(matches!(world.heard(session)[1], Body::Release { cause: cause::UNUSABLE, .. }));
+    assert_eq!(world.parted, [VIEWERS]);
+}
+
+/// Hundreds of wishes at once on one connection looked like a crowd of their tenant.
+#[test]
+fn a_connection_with_too_many_open_gets_no_more_and_others_do() {
+    let mut world = World::new();
+    let asked: Vec<u64> = (0..200).map(|_| world.ask("free")).collect();
+    let shot = asked.iter().filter(|session| world.shots(**session) > 0).count();
+    assert!((1..100).contains(&shot), "{shot} of 200 were shot");
+    assert!(asked.iter().all(|s| world.shots(*s) > 0 || world.answered(*s).is_some_and(World::is_refusal)));
+    world.desk.viewer_up(world.now, 2);
+    let other = world.ask_on(2, wish("free"));
+    assert_eq!(world.shots(other), 1);
+}
+
 #[test]
 fn what_plays_at_the_start_is_taken_over_once_and_released_when_it_ends() {
     let mut world = World::new();
--- a/src/books.rs
+++ b/src/books.rs
@@ -110,6 +110,8 @@
     pub shots: u32,
     pub looks: u32,
     pub may_have_run: bool,
+    /// The streamer whose error was this wish's first.
+    pub blamed: Option<usize>,
     pub climb_at: Point,
     pub changed: Point,
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -223,6 +223,7 @@
             shots: 0,
             looks: 0,
             may_have_run: false,
+            blamed: None,
             climb_at: now + Span::of(self.chance.between(QUIET.0, QUIET.1)),
             changed: now,
         });
@@ -689,7 +690,10 @@
         let Some(held) = self.find(on) else { return };
         let (at, rung, lane) = (held.streamer, held.rung, held.lane);
         let finished = over || matches!(held.state, State::Playing | State::Left);
-        let played = held.state == State::Playing;
+        let (played, blamed) = (held.state == State::Playing, held.blamed);
+        if ending == Ending::Errored {
+            held.blamed = Some(if blamed.is_none() { at } else { usize::MAX });
+        }
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
         on.book(now, at, -on.rate(lane, rung), -1.0);
@@ -701,6 +705,12 @@
                     streamer.weigh(now, BAD);
                     streamer.started = streamer.started.max(Some(now));
                 }
+                // A wish that fails at one streamer after the other is at fault itself: its first error is taken
+                // back. Symptom: a few wishes for titles that nobody knows, and a third of the fleet condemned.
+                Ending::Errored if blamed.is_some_and(|first| first != at) => {
+                    let first = blamed.and_then(|first| on.streamers.get_mut(first));
+                    first.into_iter().for_each(|streamer| streamer.weigh(now, -BAD));
+                }
                 Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken => {
                     streamer.weigh(now, BAD);
                 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -454,3 +454,20 @@
         assert_eq!(on.results.shots.is_empty(), fresh, "played: {played}");
     }
 }
+
+/// Wishes for titles that nobody knew went from streamer to streamer, and each error counted against a sound one.
+#[test]
+fn a_wish_that_fails_everywhere_condemns_nobody() {
+    let (mut on, start) = lone(&[]);
+    let now = start + seconds(COLD);
+    for (id, title) in (1..).zip(["a", "b", "c", "d", "e", "f"]) {
+        let bad = on.take(now, &wish(id, FREE, title, 0, now + seconds(3.0)));
+        while on.results.turned_back.is_empty() {
+            on.results.clear();
+            bad.ended(&mut on, now, Ending::Errored, false, Load::default());
+        }
+        on.results.clear();
+    }
+    on.take(now, &wish(9, PAID, "good", 0, now + seconds(3.0)));
+    assert_eq!(on.results.shots.len(), 1, "doubt is gone and nobody is condemned");
+}
