--- a/crates/lemontide-platform/tests/desk.rs
+++ b/crates/lemontide-platform/tests/desk.rs
@@ -321,6 +321,45 @@
     assert_eq!(world.desk.in_hand(), 0, "every one has its answer");
 }
 
+/// New numbers, connections and streamers all day long: what is over leaves nothing behind.
+#[test]
+fn thousands_of_lives_leave_the_tables_empty() {
+    let mut world = World::new();
+    world.desk.viewer_gone(world.now, VIEWERS);
+    for life in 0..3000u64 {
+        let conn = 1000 + life;
+        world.desk.viewer_up(world.now, conn);
+        let session = world.ask_on(conn, wish(if life % 2 == 0 { "free" } else { "paid" }));
+        if world.shot(session).is_some() {
+            world.answer(session);
+            world.ends(session, cause::NORMAL);
+        }
+        if life % 100 == 99 {
+            let at = (life as usize / 100) % STREAMERS;
+            let named = |state: &str, round: u64| {
+                let mut entry = entry(at, state);
+                if round >= STREAMERS as u64 {
+                    entry.id = format!("s{at}-{round}");
+                }
+                entry
+            };
+            let round = life / 100;
+            let (old, mut new) = (named("terminated", round), named("in_service", round + STREAMERS as u64));
+            new.addr = format!("127.0.0.1:{}", 20_000 + life);
+            world.learn(&Hosts { full: false, servers: vec![old, new] });
+            world.pass(0.1);
+        }
+        world.desk.viewer_gone(world.now, conn);
+        world.perform();
+    }
+    for link in world.dials.clone().into_keys() {
+        world.loses(link, Loss::Broke);
+    }
+    world.pass(1.0);
+    assert_eq!((world.desk.in_hand(), world.desk.open(), world.desk.spare()), (0, 0, None));
+    assert_eq!((world.desk.streamers(), world.desk.links()), (STREAMERS, STREAMERS));
+}
+
 #[test]
 fn after_the_last_call_set_ups_are_turned_back_at_once() {
     let mut world = World::new();
