--- a/crates/lemontide-cli/tests/program.rs
+++ b/crates/lemontide-cli/tests/program.rs
@@ -90,3 +90,58 @@
         assert!(same, "{name}: run `lemontide schema --into schema`");
     }
 }
+
+/// The platform's signals on the running process: a broken file is kept out, a new journal service is taken up,
+/// and SIGTERM ends it well.
+#[test]
+fn serve_obeys_the_platforms_signals() {
+    use lemontide_standin::platform::{End, Journal};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("config.json");
+        let (old, new) = (Journal::start().await.expect("a port"), Journal::start().await.expect("a port"));
+        let free = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let listen = free.local_addr().expect("it is bound");
+        drop(free);
+        let config = |journal: &Journal| {
+            serde_json::json!({"listen": listen, "seed": "1", "settings": {},
+                "journal": journal.address().expect("it is bound").to_string()})
+            .to_string()
+        };
+        std::fs::write(&file, config(&old)).expect("written");
+        let mut serve = tokio::process::Command::new(env!("CARGO_BIN_EXE_lemontide"))
+            .arg("serve")
+            .env("RELAY_CONFIG", &file)
+            .env("RELAY_LISTEN", listen.to_string())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("it starts");
+        let pid = nix::unistd::Pid::from_raw(serve.id().expect("it runs") as i32);
+        let (_reader, last) = old.reader().await.expect("it asks");
+        assert_eq!(last, 0);
+        std::fs::write(&file, &config(&new)[..20]).expect("written");
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).expect("sent");
+        let mut viewer = End::viewer(listen).await.expect("it serves on");
+        viewer.say(1, lemontide_platform::codec::Body::Test).await.expect("sent");
+        viewer.hear().await.expect("a test is passed with half a file, too");
+        std::fs::write(&file, config(&new)).expect("written");
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).expect("sent");
+        new.reader().await.expect("it asks at the new address");
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("sent");
+        let ended = tokio::time::timeout(lemontide_standin::platform::SOON, serve.wait()).await;
+        let ended = ended.expect("within the bound").expect("waited for");
+        assert!(ended.success(), "{ended}");
+    });
+}
+
+#[test]
+fn serve_without_its_configuration_says_what_is_missing() {
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_lemontide"))
+        .arg("serve")
+        .env_remove("RELAY_CONFIG")
+        .output()
+        .expect("it runs");
+    let said = String::from_utf8_lossy(&out.stderr);
+    assert!(!out.status.success() && said.contains("RELAY_CONFIG"), "{said}");
+}
