Ask for the list where the settings say that it comes on request

Cause: WIRE's `membership_mode` may be `on_request`; then changes come only after a call, and an instance that does not ask for `rules.ask_within` counts as told. No earlier deployment used it: the adapter dropped `lost`, and module and adapter had no call (control.rs `learn`, wire.rs "Registry"). The drain rule would have broken on the first drain.

Change: `Results::follow` and `list_lost`; the first call at a random moment of a quarter of `ask_within`, failures spread and doubled, an unanswered call repeated in time. The drill sends `Track`. New test, seen to fail with the ask taken out.

The adapter's check passes, also under its other settings of discovery.

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -183,7 +183,9 @@
         match name {
             "Registry" => {
                 let registry: Registry = decode(name, body)?;
-                if let ("incr" | "total" | "warm_copy", Some(lines)) =
+                if registry.form == "lost" {
+                    controller.list_lost(now);
+                } else if let ("incr" | "total" | "warm_copy", Some(lines)) =
                     (registry.form.as_str(), self.pages.get(&registry.page))
                 {
                     controller.learn(now, lines, registry.form != "incr");
@@ -314,6 +316,9 @@
     for streamer in &results.looks {
         output.push(json!({"Inspect": {"streamer": &**streamer}}));
     }
+    if results.follow {
+        output.push(json!({"Track": {"want": true}}));
+    }
     if let Some(wake) = results.wake {
         let span = (wake - now).seconds().max(0.0);
         output.push(json!({"Schedule": {"span": span, "nonce": 1}}));
--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -38,6 +38,7 @@
     ("policy_limits.peers", "messages.allowed"),
     ("charges.moves", "charges.moves"),
     ("charges.cross_zone", "charges.cross_zone"),
+    ("rules.ask_within", "list.ask_within"),
     ("rules.cold", "cold.span"),
     ("rules.cold_from", "cold.from"),
     ("rules.fall_multiple", "cold.multiple"),
@@ -88,6 +89,8 @@
         };
         sheet.insert(format!("lanes.{i}.repeat"), Value::Text(repeat.to_owned()));
     }
+    let on_request = config.get("membership_mode").and_then(Json::as_str) == Some("on_request");
+    sheet.insert("list.on_request".to_owned(), Value::Flag(on_request));
     sheet
 }
 
--- a/src/books.rs
+++ b/src/books.rs
@@ -25,6 +25,14 @@
     pub gain: Vec<f64>,
 }
 
+/// A list that comes only when asked for: when to ask next, whether an answer is awaited, failures in a row.
+#[derive(Default)]
+pub struct Asking {
+    pub due: Option<Point>,
+    pub awaited: bool,
+    pub failures: u32,
+}
+
 pub struct Tenant {
     pub name: String,
     pub quota_per_s: f64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,9 @@
 //! The types of these calls are in `interface.rs`, time in `clock.rs`, chance in `chance.rs`.
 //! The ordinary path is `Controller::place`: smallest phi = 1 / ((x + 1) * a) among the holders.
 
-use crate::books::{Fleet, HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title};
+use crate::books::{
+    Asking, Fleet, HouseRules, Ladder, Lane, Pipe, State, Streamer, Subscription, Tenant, Title,
+};
 use crate::chance::Chance;
 use crate::clock::{Point, Span};
 use crate::interface::{
@@ -56,6 +58,8 @@
 const TENANT_SPAN: f64 = 16.0;
 /// Wishes that prove little about a tenant.
 const PROOF: f64 = 8.0;
+/// Part of the time that the rules give in which a list is asked for, and asked for again after a failure.
+const ASK_PART: f64 = 0.25;
 const BEAT: Span = Span::of_millis(250);
 
 /// Stands for one subscription in hand; a stale one finds nobody.
@@ -81,6 +85,7 @@
     further: VecDeque<Point>,
     chance: Chance,
     wake_at: Point,
+    asking: Asking,
     fleet: Fleet,
     pub results: Results,
 }
@@ -110,7 +115,7 @@
             let quota_per_s = read(&format!("tenants.{i}.quota_per_s"), f64::INFINITY);
             Some(Tenant { name, quota_per_s, count: None, counted: now })
         };
-        Controller {
+        let mut controller = Controller {
             rules: HouseRules { sheet: sheet.clone(), born: now },
             ladder,
             lanes: (0..).map_while(lane).collect(),
@@ -126,13 +131,40 @@
             further: VecDeque::with_capacity(64),
             chance: Chance::from_seed(seed),
             wake_at: now,
+            asking: Asking::default(),
             fleet: Fleet::default(),
             results: Results::default(),
+        };
+        if flag(sheet, "list.on_request") {
+            let others = 1.0 - 1.0 / controller.rules.controllers();
+            controller.ask_again(now, others);
+        }
+        controller
+    }
+
+    /// Sets when the list is asked for: well within the time that the rules give, at a random moment, as hundreds
+    /// ask one service. Symptom: all ask at once, most calls fail, and old lists send set-ups into drains.
+    fn ask_again(&mut self, now: Point, spread: f64) {
+        let within = span(&self.rules.sheet, "list.ask_within") * ASK_PART;
+        let doubled = f64::from(1 << self.asking.failures.min(2));
+        let wait = within * (doubled * spread * self.chance.between(0.0, 1.0));
+        self.asking.due = Some(now + wait);
+        self.asking.awaited = false;
+    }
+
+    /// A call for the list failed, or it is followed no longer: the old list stays in force for now.
+    pub fn list_lost(&mut self, now: Point) {
+        if flag(&self.rules.sheet, "list.on_request") {
+            self.asking.failures += 1;
+            self.ask_again(now, 1.0);
         }
     }
 
     /// Takes news of the list: changed lines, or with `whole` all of it, so that who is missing is gone.
     pub fn learn(&mut self, now: Point, lines: &[Line], whole: bool) {
+        if self.asking.awaited {
+            self.asking = Asking::default();
+        }
         if whole {
             self.streamers.iter_mut().for_each(|s| s.ready = false);
         }
@@ -597,6 +629,12 @@
             return;
         }
         self.ask_wake(now);
+        // An answer that stays out is no reason to wait longer than the rules allow.
+        if self.asking.due.is_some_and(|due| due <= now) {
+            self.results.follow = true;
+            let due = Some(now + span(&self.rules.sheet, "list.ask_within") * (1.0 - ASK_PART));
+            self.asking = Asking { due, awaited: true, ..self.asking };
+        }
         self.resume(now, |s| now - s.changed >= BEAT);
         let window = span(&self.rules.sheet, "ration.window");
         self.taken.retain(|t| now - *t <= window);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub moved: Vec<u32>,
     /// Streamers to look at; what comes back goes to `looked`.
     pub looks: Vec<Rc<str>>,
+    /// Ask for the list's changes from now on; what comes goes to `learn`, a failure to `list_lost`.
+    pub follow: bool,
     /// The moment at which `wake` wants to be called.
     pub wake: Option<Point>,
 }
@@ -149,6 +151,7 @@
         self.scrapped.clear();
         self.moved.clear();
         self.looks.clear();
+        self.follow = false;
         self.wake = None;
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -471,3 +471,40 @@
     on.take(now, &wish(9, PAID, "good", 0, now + seconds(3.0)));
     assert_eq!(on.results.shots.len(), 1, "doubt is gone and nobody is condemned");
 }
+
+/// Where the list comes only when asked for nobody asked: drains that the rules count as told were not known.
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_in_time_and_spread() {
+    let mut asked = Vec::new();
+    for me in 0..60 {
+        let now = Point::at(100.0);
+        let mut settings = sheet(me, 60, &[("list.ask_within", 8.0)]);
+        let mut pushed = Controller::start(now, me as u64, &settings);
+        settings.insert("list.on_request".to_owned(), Value::Flag(true));
+        let mut on = Controller::start(now, 31 * me as u64, &settings);
+        on.learn(now, &fleet(), true);
+        // The third call is answered, and then the list is followed until it breaks off.
+        let (mut calls, mut last) = (0, now);
+        for beat in 1..200 {
+            let at = now + seconds(0.3 * f64::from(beat));
+            (pushed.wake(at), on.wake(at));
+            assert!(!pushed.results.follow, "it comes by itself");
+            if std::mem::take(&mut on.results.follow) {
+                (calls, last) = (calls + 1, at);
+                match calls {
+                    1 => asked.push(at),
+                    2 => on.list_lost(at),
+                    3 => on.learn(at + seconds(0.1), &[line(0, Stage::Draining, None)], false),
+                    _ => {}
+                }
+            }
+            assert!(calls >= 3 || at - last < seconds(8.0), "asked again within the rules' time");
+        }
+        assert_eq!(calls, 3, "followed");
+        on.list_lost(now + seconds(60.0));
+        (0..30).for_each(|beat| on.wake(now + seconds(60.3 + 0.3 * f64::from(beat))));
+        assert!(on.results.follow, "asked for anew when it broke off");
+    }
+    let first = asked.iter().filter(|at| (**at - Point::at(100.0)).seconds() < 0.5).count();
+    assert!(first < 30, "{first} of 60 asked in the same moment");
+}
