--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -487,7 +487,8 @@
         let (mut calls, mut last) = (0, now);
         for beat in 1..200 {
             let at = now + seconds(0.3 * f64::from(beat));
-            (pushed.wake(at), on.wake(at));
+            pushed.wake(at);
+            on.wake(at);
             assert!(!pushed.results.follow, "it comes by itself");
             if std::mem::take(&mut on.results.follow) {
                 (calls, last) = (calls + 1, at);
