Titles follow each wish and the list; no rung above what a viewer can use

Cause: the module read a title's cells from its first wish and the streamers' cells from their first line (control.rs `enter`), and raised a viewer's highest rung to the lane's floor (`top: ..max(terms.floor)`).

Change: holders are read anew when the wish's cells or the list differ; a viewer below the floor, or a lane whose top lies under its floor, is turned back at once. Two tests, each seen to fail with its fault put back (one needed a sharper case).

--- a/src/books.rs
+++ b/src/books.rs
@@ -57,11 +57,12 @@
     pub price: Option<f64>,
 }
 
-/// The streamers that hold a title, out of so many on the list, and the kept one with when it was chosen.
+/// The streamers that hold a title, for that state of the list and those cells, and the kept one with when it was
+/// chosen.
 #[derive(Default)]
 pub struct Title {
     pub holders: Vec<usize>,
-    pub of: usize,
+    pub of: (u64, usize, usize),
     pub kept: Option<(usize, Point)>,
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -76,6 +76,8 @@
     tenants: Vec<Tenant>,
     streamers: Vec<Streamer>,
     by_name: HashMap<String, usize>,
+    /// Counts the changes of which streamer stands in which cell.
+    listed: u64,
     racks: Vec<Pipe>,
     titles: Vec<Title>,
     by_title: HashMap<String, usize>,
@@ -122,6 +124,7 @@
             tenants: (0..).map_while(tenant).collect(),
             streamers: Vec::new(),
             by_name: HashMap::new(),
+            listed: 0,
             racks: vec![Pipe::of_size(read("rack.kb", 0.0)); read("rack.count", 1.0).max(1.0) as usize],
             titles: Vec::new(),
             by_title: HashMap::new(),
@@ -174,6 +177,7 @@
                 self.streamers.push(Streamer { name: line.streamer.as_str().into(), ..Streamer::default() });
             }
             let streamer = &mut self.streamers[at];
+            self.listed += u64::from(streamer.cell != line.cell || streamer.link.kb <= 0.0);
             (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
             streamer.ready = line.stage == Stage::Ready;
             let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
@@ -223,11 +227,13 @@
             self.titles.len() - 1
         });
         let known = &mut self.titles[title];
-        if known.of != self.streamers.len() {
+        // Told anew with each wish. Symptom: a title that moved is asked for where it no longer lies.
+        let of = (self.listed, wish.home, wish.copies);
+        if known.of != of {
             let cells = self.rules.number("cells", 1.0).max(1.0) as usize;
             let holds = |s: &Streamer| (s.cell + cells - wish.home % cells) % cells < wish.copies;
             known.holders = (0..self.streamers.len()).filter(|at| holds(&self.streamers[*at])).collect();
-            known.of = self.streamers.len();
+            known.of = of;
         }
         let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or_else(|| {
             // A lane that the settings never named is served on the strictest terms.
@@ -247,7 +253,7 @@
             title,
             gain: terms.gain * (within + past),
             floor: terms.floor,
-            top: wish.top.min(terms.top).max(terms.floor),
+            top: wish.top.min(terms.top),
             cut_off: wish.cut_off,
             state: State::Waiting,
             rung: terms.floor,
@@ -264,7 +270,6 @@
 
     /// The ordinary path of a subscription, from top to bottom.
     fn place(&mut self, now: Point, place: usize) {
-        let fair = self.fair_rung(place, 1.0);
         let held = &self.held[place];
         let (lane, floor) = (held.lane, held.floor);
         let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
@@ -272,7 +277,8 @@
         let seated = |s: &Subscription| s.title == held.title && s.lane == lane && s.seated();
         let no_seat = terms.seats > 0 && self.held.iter().filter(|(_, s)| seated(s)).count() >= terms.seats;
         let spent = now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots);
-        if no_seat || spent {
+        // A viewer below the lane's floor can use no rung of it. Symptom: rungs that its screen can't show.
+        if no_seat || spent || floor > held.top {
             return self.give_up(place);
         }
         // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a
@@ -287,7 +293,9 @@
             return self.give_up(place);
         }
         // Highest rung first; at each the kept holder, else the smallest phi; lower rungs, then a turn-back.
-        let choice = (floor..=fair).rev().find_map(|rung| Some((self.holder(now, place, rung)?, rung)));
+        let choice = (floor..=self.fair_rung(place, 1.0))
+            .rev()
+            .find_map(|rung| Some((self.holder(now, place, rung)?, rung)));
         let Some((at, rung)) = choice else {
             return self.give_up(place);
         };
@@ -465,7 +473,7 @@
     fn fair_rung(&self, place: usize, part: f64) -> usize {
         let held = &self.held[place];
         let Some(price) = self.fleet.price else {
-            return (self.ladder.kb.len() / 2).clamp(held.floor, held.top);
+            return (self.ladder.kb.len() / 2).min(held.top).max(held.floor);
         };
         let worth = (held.floor + 1..=held.top).take_while(|rung| self.step(held, *rung).1 >= price * part);
         worth.last().unwrap_or(held.floor)
@@ -695,7 +703,7 @@
     /// The rung in force, as the streamer tells it.
     pub fn at_rung(self, on: &mut Controller, now: Point, rung: usize) {
         let Some(held) = self.find(on) else { return };
-        let before = std::mem::replace(&mut held.rung, rung.clamp(held.floor, held.top));
+        let before = std::mem::replace(&mut held.rung, rung.min(held.top).max(held.floor));
         let (at, lane, rung) = (held.streamer, held.lane, held.rung);
         on.book(now, at, on.rate(lane, rung) - on.rate(lane, before), 0.0);
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -6,7 +6,7 @@
 use lemontide::chance::Chance;
 use lemontide::clock::Point;
 use lemontide::control::Controller;
-use lemontide::interface::{Ending, Load, Stage, Value, Wish};
+use lemontide::interface::{Ending, Line, Load, Stage, Value, Wish};
 
 #[test]
 fn every_seed_gives_a_running_generator() {
@@ -509,3 +509,33 @@
     let first = asked.iter().filter(|at| (**at - Point::at(100.0)).seconds() < 0.5).count();
     assert!(first < 30, "{first} of 60 asked in the same moment");
 }
+
+/// A viewer whose highest rung lies under the lane's floor was started above it, which its screen can't show.
+#[test]
+fn a_viewer_that_can_use_no_rung_of_the_lane_is_turned_back_at_once() {
+    let (mut on, now) = lone(&[("lane_floor.1", 2.0), ("lane_floor.0", 3.0), ("lane_top.0", 1.0)]);
+    on.take(now, &Wish { top: 1, ..wish(1, PAID, "t", 0, now + seconds(9.0)) });
+    on.take(now, &wish(2, FREE, "t", 0, now + seconds(9.0)));
+    assert_eq!((on.results.shots.len(), on.results.turned_back.len()), (0, 2));
+    let handed = on.inherit(now, &Wish { top: 1, ..wish(3, PAID, "t", 0, now) }, "s0");
+    handed.at_rung(&mut on, now, 4);
+    (1..30).for_each(|beat| on.wake(now + seconds(0.3 * f64::from(beat))));
+    on.results.clear();
+    on.take(now, &wish(4, PAID, "t", 0, now + seconds(9.0)));
+    assert!(on.results.rungs.iter().all(|(id, rung)| *id == 4 && *rung >= 2), "others are not touched");
+}
+
+/// Where a title lies was read from its first wish alone, and from where streamers stood then.
+#[test]
+fn a_title_is_asked_for_where_its_last_wish_and_the_list_say() {
+    let (mut on, start) = lone(&[]);
+    let now = start + seconds(COLD);
+    let at = |on: &mut Controller, id: u32, home: usize| {
+        on.results.clear();
+        on.take(now, &Wish { copies: 1, ..wish(id, FREE, "t", home, now + seconds(9.0)) });
+        on.results.shots[0].streamer.to_string()
+    };
+    assert_eq!((at(&mut on, 1, 0), at(&mut on, 2, 5)), ("s0".to_owned(), "s5".to_owned()));
+    on.learn(now, &[Line { cell: 5, ..line(3, Stage::Ready, None) }, line(5, Stage::Gone, None)], false);
+    assert_eq!(at(&mut on, 3, 5), "s3", "it stands in another cell now");
+}
