What is known of streamers and titles that are gone is let go

Change: both lie in slabs; a streamer that left the list a minute (or a warm-up) ago and a title not asked for as long are removed once no subscription refers to them, and the holders of titles are read anew. A test of 400 rounds of new names, with one subscription that outlives them, seen to fail with the fault put back.

--- a/src/books.rs
+++ b/src/books.rs
@@ -63,6 +63,7 @@
 pub struct Title {
     pub holders: Vec<usize>,
     pub of: (u64, usize, usize),
+    pub asked: Point,
     pub kept: Option<(usize, Point)>,
 }
 
@@ -73,6 +74,8 @@
     pub cell: usize,
     pub near: bool,
     pub ready: bool,
+    /// Since when the list no longer names it.
+    pub gone: Option<Point>,
     pub places: f64,
     /// Last start: from the list, or the moment at which this controller saw it break.
     pub started: Option<Point>,
--- a/src/control.rs
+++ b/src/control.rs
@@ -74,12 +74,12 @@
     ladder: Ladder,
     lanes: Vec<Lane>,
     tenants: Vec<Tenant>,
-    streamers: Vec<Streamer>,
+    streamers: Slab<Streamer>,
     by_name: HashMap<String, usize>,
     /// Counts the changes of which streamer stands in which cell.
     listed: u64,
     racks: Vec<Pipe>,
-    titles: Vec<Title>,
+    titles: Slab<Title>,
     by_title: HashMap<String, usize>,
     held: Slab<Subscription>,
     serial: u64,
@@ -122,11 +122,11 @@
             ladder,
             lanes: (0..).map_while(lane).collect(),
             tenants: (0..).map_while(tenant).collect(),
-            streamers: Vec::new(),
+            streamers: Slab::new(),
             by_name: HashMap::new(),
             listed: 0,
             racks: vec![Pipe::of_size(read("rack.kb", 0.0)); read("rack.count", 1.0).max(1.0) as usize],
-            titles: Vec::new(),
+            titles: Slab::new(),
             by_title: HashMap::new(),
             held: Slab::with_capacity(256),
             serial: 0,
@@ -169,17 +169,26 @@
             self.asking = Asking::default();
         }
         if whole {
-            self.streamers.iter_mut().for_each(|s| s.ready = false);
+            for (_, streamer) in &mut self.streamers {
+                (streamer.ready, streamer.gone) = (false, streamer.gone.or(Some(now)));
+            }
         }
         for line in lines {
-            let at = *self.by_name.entry(line.streamer.clone()).or_insert(self.streamers.len());
-            if at == self.streamers.len() {
-                self.streamers.push(Streamer { name: line.streamer.as_str().into(), ..Streamer::default() });
-            }
+            let at = match self.by_name.get(&line.streamer) {
+                Some(at) => *at,
+                None if line.stage == Stage::Gone => continue,
+                None => {
+                    let new = Streamer { name: line.streamer.as_str().into(), ..Streamer::default() };
+                    let at = self.streamers.insert(new);
+                    self.by_name.insert(line.streamer.clone(), at);
+                    at
+                }
+            };
             let streamer = &mut self.streamers[at];
             self.listed += u64::from(streamer.cell != line.cell || streamer.link.kb <= 0.0);
             (streamer.cell, streamer.rack) = (line.cell, line.cell % self.racks.len());
             streamer.ready = line.stage == Stage::Ready;
+            streamer.gone = streamer.gone.or(Some(now)).filter(|_| line.stage == Stage::Gone);
             let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
             streamer.near = !crossing || text(&self.rules.sheet, "zone") == Some(&line.zone);
             streamer.link.kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
@@ -222,17 +231,19 @@
 
     fn enter(&mut self, now: Point, wish: &Wish, first: bool) -> Handle {
         let title = self.by_title.get(wish.title).copied().unwrap_or_else(|| {
-            self.by_title.insert(wish.title.to_owned(), self.titles.len());
-            self.titles.push(Title::default());
-            self.titles.len() - 1
+            let at = self.titles.insert(Title::default());
+            self.by_title.insert(wish.title.to_owned(), at);
+            at
         });
         let known = &mut self.titles[title];
+        known.asked = now;
         // Told anew with each wish. Symptom: a title that moved is asked for where it no longer lies.
         let of = (self.listed, wish.home, wish.copies);
         if known.of != of {
             let cells = self.rules.number("cells", 1.0).max(1.0) as usize;
             let holds = |s: &Streamer| (s.cell + cells - wish.home % cells) % cells < wish.copies;
-            known.holders = (0..self.streamers.len()).filter(|at| holds(&self.streamers[*at])).collect();
+            let all = self.streamers.iter().filter(|(_, s)| holds(s));
+            known.holders = all.map(|(at, _)| at).collect();
             known.of = of;
         }
         let lane = self.lanes.iter().position(|l| l.name == wish.lane).unwrap_or_else(|| {
@@ -485,9 +496,9 @@
     /// Looks over the own part of the fleet: its mean fullness, and the gain per kB that its links are worth
     /// when the own subscriptions are filled up, best steps first, to what the fleet leaves them.
     fn appraise(&mut self, now: Point) -> f64 {
-        let own: f64 = self.streamers.iter().map(|s| s.own_kb).sum();
+        let own: f64 = self.streamers.iter().map(|(_, s)| s.own_kb).sum();
         let lapse = self.rules.lapse();
-        let ready = || (0..self.streamers.len()).filter(|at| self.streamers[*at].ready);
+        let ready = || self.streamers.iter().filter(|(_, s)| s.ready).map(|(at, _)| at);
         let fresh = |at: &usize| self.streamers[*at].link.told.is_some_and(|t| now - t < lapse);
         let links: f64 = ready().map(|at| self.streamers[at].link.kb).sum();
         let heard: f64 = ready().filter(fresh).map(|at| self.streamers[at].link.kb).sum();
@@ -656,12 +667,41 @@
         // ones outnumber controllers. Symptom: one that viewers lean to steps down in an empty fleet.
         let (early, own) = (self.fleet.price.is_none(), self.held.len() as f64);
         let full = self.appraise(now) * own / (own + self.rules.controllers());
-        for at in 0..self.streamers.len() {
-            self.relieve(now, at, now, if early { full } else { 0.0 });
-            self.climb(now, at);
+        for at in 0..self.streamers.capacity() {
+            if self.streamers.contains(at) {
+                self.relieve(now, at, now, if early { full } else { 0.0 });
+                self.climb(now, at);
+            }
+        }
+        self.forget(now);
+    }
+
+    /// Lets go of streamers that left the list and of titles that nobody asks for, once no account holds anything
+    /// of them any more. Symptom: memory that grows with every name that comes and goes.
+    fn forget(&mut self, now: Point) {
+        let after = span(&self.rules.sheet, "cold.span").max(Span::of(2.0 * STALE));
+        let held = &self.held;
+        let there = |at: usize| held.iter().any(|(_, s)| s.streamer == at || s.blamed == Some(at));
+        let named = self.streamers.len();
+        let gone = |s: &Streamer| s.gone.is_some_and(|since| now - since > after);
+        self.streamers.retain(|at, s| !gone(s) || there(at));
+        if self.streamers.len() < named {
+            self.listed += 1;
+            self.by_name.retain(|_, at| self.streamers.contains(*at));
+        }
+        let titles = self.titles.len();
+        let asked = |t: &Title| now - t.asked <= after;
+        self.titles.retain(|at, t| asked(t) || held.iter().any(|(_, s)| s.title == at));
+        if self.titles.len() < titles {
+            self.by_title.retain(|_, at| self.titles.contains(*at));
         }
     }
 
+    /// Streamers and titles of which anything is known.
+    pub fn known(&self) -> (usize, usize) {
+        (self.streamers.len(), self.titles.len())
+    }
+
     /// Own subscriptions at a streamer climb into the fresh room that is theirs by what they ask for, once
     /// for each news of it, best steps first; a step larger than what is left of it goes by chance.
     fn climb(&mut self, now: Point, at: usize) {
@@ -717,7 +757,7 @@
     pub fn short(self, on: &mut Controller, now: Point, share: f64) {
         let Some(held) = self.find(on) else { return };
         let at = held.streamer;
-        if share >= BRIM || at >= on.streamers.len() {
+        if share >= BRIM || !on.streamers.contains(at) {
             return;
         }
         let full = 1.0 / share.max(0.3);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -559,3 +559,40 @@
     on.take(now, &one(5, now));
     assert_eq!(on.results.shots.len(), 1, "a new process runs none");
 }
+
+/// What was known of streamers and titles that are gone was kept for good.
+#[test]
+fn what_is_gone_is_let_go() {
+    let (mut on, start) = lone(&[]);
+    let mut now = start;
+    let named = |cell: usize, round: u32| {
+        let mut one = line(cell, Stage::Ready, None);
+        one.streamer = format!("s{cell}-{round}");
+        one
+    };
+    let long = on.take(now, &wish(0, FREE, "long", 0, now + seconds(3.0)));
+    long.plays(&mut on, now);
+    let first = on.results.shots[0].streamer.to_string();
+    for round in 1..400 {
+        now = now + seconds(5.0);
+        on.learn(now, &(0..STREAMERS).map(|cell| named(cell, round)).collect::<Vec<_>>(), true);
+        on.results.clear();
+        let title = format!("t{round}");
+        let one = on.take(now, &wish(round, FREE, &title, 0, now + seconds(3.0)));
+        assert_eq!(on.results.shots.len(), 1, "round {round}");
+        one.plays(&mut on, now);
+        one.ended(&mut on, now, Ending::Served, true, Load::link(0.3));
+        on.wake(now);
+        let (streamers, titles) = on.known();
+        assert!(streamers <= 17 * STREAMERS && titles <= 17, "{streamers} and {titles}");
+    }
+    for beat in 1..30 {
+        on.wake(now + seconds(5.0 * f64::from(beat)));
+    }
+    assert_eq!(on.known(), (STREAMERS + 1, 1), "what still plays is known, and the list");
+    on.results.clear();
+    long.short(&mut on, now, 0.5);
+    long.ended(&mut on, now + seconds(150.0), Ending::Served, true, Load::default());
+    on.wake(now + seconds(151.0));
+    assert_eq!(on.known(), (STREAMERS, 0), "{first} is let go");
+}
