--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -582,7 +582,7 @@
         assert_eq!(on.results.shots.len(), 1, "round {round}");
         one.plays(&mut on, now);
         one.ended(&mut on, now, Ending::Served, true, Load::link(0.3));
-        on.wake(now);
+        on.wake(now + seconds(1.0));
         let (streamers, titles) = on.known();
         assert!(streamers <= 17 * STREAMERS && titles <= 17, "{streamers} and {titles}");
     }
