Viewers who share a live stream count for what they add

No deployment so far has live titles, so `join` was read by nobody.

Change: one figure of what a subscription takes of a streamer, used for a, the accounts and every step; a price per viewer that is shared; shared streams step as one. With `join` 1, or no live lane, every figure is as before. Two tests, each part seen to fail when taken out.

--- a/src/books.rs
+++ b/src/books.rs
@@ -21,6 +21,8 @@
 
 /// The rates and gains of the rungs.
 pub struct Ladder {
+    /// What a further viewer adds to a stream that is shared, as a part of its rate; 1 where none is.
+    pub join: f64,
     pub kb: Vec<f64>,
     pub gain: Vec<f64>,
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -95,7 +95,8 @@
 impl Controller {
     pub fn start(now: Point, seed: u64, sheet: &Sheet) -> Controller {
         let read = |name: &str, fallback: f64| number(sheet, name).unwrap_or(fallback);
-        let mut ladder = Ladder { kb: row(sheet, "ladder.kb"), gain: row(sheet, "ladder.gain") };
+        let join = read("ladder.join", 1.0).clamp(0.0, 1.0);
+        let mut ladder = Ladder { kb: row(sheet, "ladder.kb"), gain: row(sheet, "ladder.gain"), join };
         ladder.kb.resize(ladder.kb.len().max(1), 1.0);
         ladder.gain.resize(ladder.kb.len(), 1.0);
         let highest = ladder.kb.len() - 1;
@@ -224,8 +225,9 @@
         let held = &mut self.held[handle.place];
         held.streamer = self.by_name.get(streamer).copied().unwrap_or(usize::MAX);
         (held.state, held.shots) = (State::Playing, 1);
-        let (at, lane, rung) = (held.streamer, held.lane, held.rung);
-        self.book(now, at, self.rate(lane, rung), 1.0);
+        let (at, rung) = (held.streamer, held.rung);
+        let (kb, count) = self.takes(handle.place, at, rung);
+        self.book(now, at, kb, count);
         handle
     }
 
@@ -294,7 +296,8 @@
         }
         // No rung earns what its link is worth elsewhere: turned back by the chance that it is past a
         // tenant's share; without shares, when it falls well short. Symptom: links full of cheap wishes.
-        let earns = |rung: usize| held.gain * self.ladder.gain[rung] / self.rate(lane, rung);
+        let rate = |rung: usize| self.rate(lane, rung) * self.part(held);
+        let earns = |rung: usize| held.gain * self.ladder.gain[rung] / rate(rung);
         let best = (floor..=held.top).map(earns).fold(0.0, f64::max);
         let part = self.fleet.price.map_or(1.0, |price| best / price.max(1e-12));
         let past = 1.0 - held.gain / terms.gain;
@@ -322,8 +325,8 @@
             return self.results.looks.push(self.streamers[at].name.clone());
         }
         self.titles[self.held[place].title].kept = Some((at, now));
-        let kb = self.rate(lane, rung);
-        self.book(now, at, kb, 1.0);
+        let (kb, count) = self.takes(place, at, rung);
+        self.book(now, at, kb, count);
         let streamer = &mut self.streamers[at];
         streamer.streams = streamer.streams.map(|n| n + 1.0);
         streamer.count_turn(&self.rules, now);
@@ -400,25 +403,50 @@
         // It lapses, as only own set-ups and their ends bring it. Symptom: once full, never asked again.
         let streamer = &self.streamers[at];
         let told = streamer.streams.filter(|_| (now - streamer.counted).seconds() < STALE / 2.0);
+        let (kb, count) = self.takes(place, at, rung);
         let k = streamer.places - told.map_or(own, |told| told.max(own));
+        let k = if count > 0.0 { k } else { f64::INFINITY };
         let fill = if rung == held.floor { BRIM } else { FILL };
-        k.min(self.room(now, at, fill) / self.rate(held.lane, rung))
+        k.min(self.room(now, at, fill) / kb)
     }
 
     /// x: own viewers that share a live stream at this streamer and rung.
     fn shared(&self, place: usize, at: usize, rung: usize) -> f64 {
         let held = &self.held[place];
-        if !self.lanes[held.lane].live {
-            return 0.0;
+        let there = |s: &Subscription| s.streamer == at && s.seated() && s.rung == rung;
+        self.mates(held).filter(|(_, s)| there(s)).count() as f64
+    }
+
+    /// Own subscriptions that share a stream with this one where streamer and rung are the same.
+    fn mates<'a>(&'a self, held: &'a Subscription) -> impl Iterator<Item = (usize, &'a Subscription)> {
+        let shares = self.lanes[held.lane].live && self.ladder.join < 1.0;
+        let alike =
+            |s: &Subscription| (s.title, s.lane) == (held.title, held.lane) && s.serial != held.serial;
+        self.held.iter().take(if shares { usize::MAX } else { 0 }).filter(move |(_, s)| alike(s))
+    }
+
+    /// What a subscription takes of a streamer's link and of its places: one that joins a stream adds a part of
+    /// the rate and takes no place. Symptom: a crowd before one live title fills a link that is nearly empty.
+    fn takes(&self, place: usize, at: usize, rung: usize) -> (f64, f64) {
+        let rate = self.rate(self.held[place].lane, rung);
+        if self.shared(place, at, rung) > 0.0 {
+            (rate * self.ladder.join.max(1e-3), 0.0)
+        } else {
+            (rate, 1.0)
         }
-        let alike = |s: &Subscription| s.title == held.title && s.lane == held.lane && s.rung == rung;
-        self.held.iter().filter(|(_, s)| s.streamer == at && s.seated() && alike(s)).count() as f64
     }
 
     fn rate(&self, lane: usize, rung: usize) -> f64 {
         self.ladder.kb[rung] * self.lanes[lane].scale
     }
 
+    /// The part of a rate that falls to each of those who share, or would share, a stream with this one.
+    fn part(&self, held: &Subscription) -> f64 {
+        let near = |s: &Subscription| s.seated() && (!held.seated() || s.streamer == held.streamer);
+        let mates = self.mates(held).filter(|(_, s)| near(s)).count() as f64;
+        (1.0 + mates * self.ladder.join) / (1.0 + mates)
+    }
+
     /// What a subscription's step from the rung below up to this one takes of a link, and earns per kB.
     fn step(&self, held: &Subscription, rung: usize) -> (f64, f64) {
         let (mut kb, mut gain) = (self.rate(held.lane, rung), self.ladder.gain[rung]);
@@ -426,6 +454,7 @@
             kb -= self.rate(held.lane, rung - 1);
             gain -= self.ladder.gain[rung - 1];
         }
+        kb *= self.part(held);
         (kb, held.gain * gain / kb.max(1e-9))
     }
 
@@ -531,7 +560,7 @@
         let mut left = own * (FILL / full).clamp(0.4, 40.0);
         let mut steps = Vec::new();
         for (_, held) in self.held.iter().filter(|(_, s)| s.seated()) {
-            left -= self.rate(held.lane, held.floor);
+            left -= self.rate(held.lane, held.floor) * self.part(held);
             steps.extend((held.floor + 1..=held.top).map(|rung| self.step(held, rung)));
         }
         steps.sort_by(|a, b| b.1.total_cmp(&a.1));
@@ -599,23 +628,34 @@
             let cheapest = own.min_by(|a, b| price(a.1).total_cmp(&price(b.1)));
             let Some((place, held)) = cheapest else { return };
             let (kb, rung) = (self.step(held, held.rung).0, held.rung - 1);
+            let kb = kb * (1.0 + self.shared(place, at, rung + 1));
             if self.chance.between(0.0, kb) < missing {
-                self.set_rung(now, place, rung);
+                self.step_together(now, place, rung);
             }
             missing -= kb;
         }
     }
 
+    /// A stream that own viewers share steps with all who can use the rung. Symptom: one who steps alone opens a
+    /// second stream, and the link carries more.
+    fn step_together(&mut self, now: Point, place: usize, rung: usize) {
+        let (before, at) = (self.held[place].rung, self.held[place].streamer);
+        let with = |(_, s): &(usize, &Subscription)| s.plays_at(at) && s.rung == before && s.top >= rung;
+        let mates: Vec<usize> = self.mates(&self.held[place]).filter(with).map(|(mate, _)| mate).collect();
+        for place in std::iter::once(place).chain(mates) {
+            self.set_rung(now, place, rung);
+        }
+    }
+
     fn set_rung(&mut self, now: Point, place: usize, rung: usize) {
         let quiet = self.chance.between(QUIET.0, QUIET.1);
-        let held = &self.held[place];
-        let more = self.rate(held.lane, rung) - self.rate(held.lane, held.rung);
+        let (at, before) = (self.held[place].streamer, self.held[place].rung);
+        let (less, more) = (self.takes(place, at, before), self.takes(place, at, rung));
         let held = &mut self.held[place];
-        held.climb_at = now + Span::of(if more > 0.0 { QUIET.1 } else { quiet });
+        held.climb_at = now + Span::of(if rung > before { QUIET.1 } else { quiet });
         (held.rung, held.changed) = (rung, now);
         self.results.rungs.push((held.id, rung));
-        let at = held.streamer;
-        self.book(now, at, more, 0.0);
+        self.book(now, at, more.0 - less.0, more.1 - less.1);
     }
 
     /// A look at a streamer came back, with its load or, where it failed, without; who waited for it goes on.
@@ -720,10 +760,10 @@
             let able = quiet.filter(|(place, s)| s.rung < self.fair_rung(*place, cheap));
             let best = able.max_by(|a, b| next(a.1).1.total_cmp(&next(b.1).1));
             let Some((place, held)) = best else { return };
-            let (kb, rung) = (next(held).0, held.rung + 1);
+            let (kb, rung) = (next(held).0 * (1.0 + self.shared(place, at, held.rung)), held.rung + 1);
             self.streamers[at].acted = now;
             if self.chance.between(0.0, kb) < room {
-                self.set_rung(now, place, rung);
+                self.step_together(now, place, rung);
             }
             room -= kb;
         }
@@ -748,9 +788,10 @@
     /// The rung in force, as the streamer tells it.
     pub fn at_rung(self, on: &mut Controller, now: Point, rung: usize) {
         let Some(held) = self.find(on) else { return };
-        let before = std::mem::replace(&mut held.rung, rung.min(held.top).max(held.floor));
-        let (at, lane, rung) = (held.streamer, held.lane, held.rung);
-        on.book(now, at, on.rate(lane, rung) - on.rate(lane, before), 0.0);
+        let (at, before, rung) = (held.streamer, held.rung, rung.min(held.top).max(held.floor));
+        let (less, more) = (on.takes(self.place, at, before), on.takes(self.place, at, rung));
+        on.held[self.place].rung = rung;
+        on.book(now, at, more.0 - less.0, more.1 - less.1);
     }
 
     /// The streamer delivers only this share of the rates.
@@ -779,7 +820,7 @@
     /// A shot or its stream ended; `over` says that the subscription is finished with it.
     pub fn ended(self, on: &mut Controller, now: Point, ending: Ending, over: bool, load: Load) {
         let Some(held) = self.find(on) else { return };
-        let (at, rung, lane) = (held.streamer, held.rung, held.lane);
+        let (at, rung, lane, seated) = (held.streamer, held.rung, held.lane, held.seated());
         let finished = over || matches!(held.state, State::Playing | State::Left);
         let (played, blamed) = (held.state == State::Playing, held.blamed);
         if ending == Ending::Errored {
@@ -787,7 +828,10 @@
         }
         held.may_have_run |= !matches!(ending, Ending::SentBack | Ending::NoConnection | Ending::NotSent);
         held.state = State::Waiting;
-        on.book(now, at, -on.rate(lane, rung), -1.0);
+        if seated {
+            let (kb, count) = on.takes(self.place, at, rung);
+            on.book(now, at, -kb, -count);
+        }
         if let Some(streamer) = on.streamers.get_mut(at) {
             match ending {
                 // A broken stream was held by a process that is no more: it restarts cold, if at all. A shot
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -596,3 +596,59 @@
     on.wake(now + seconds(151.0));
     assert_eq!(on.known(), (STREAMERS, 0), "{first} is let go");
 }
+
+/// A controller in the middle of its day whose free lane is live: a further viewer adds a tenth of a stream.
+fn live() -> (Controller, Point) {
+    let start = Point::at(100.0);
+    let mut settings = sheet(0, 1, &[("ladder.join", 0.1)]);
+    settings.insert("lane_live.0".to_owned(), Value::Flag(true));
+    let mut on = Controller::start(start, 7, &settings);
+    on.learn(start, &fleet(), true);
+    on.results.clear();
+    (on, start + seconds(COLD))
+}
+
+/// Each viewer of a live title was counted at the full rate and a place, and a crowd before it was turned back.
+#[test]
+fn viewers_of_a_live_title_join_the_stream_that_is_there() {
+    let (mut on, now) = live();
+    let mut handles = Vec::new();
+    for id in 0..60 {
+        handles.push(on.take(now, &wish(id, FREE, "t", 0, now + seconds(9.0))));
+        handles[id as usize].plays(&mut on, now);
+        handles[id as usize].load(&mut on, now, Load::link(0.1));
+    }
+    let at = on.results.shots[0].streamer.clone();
+    assert!(on.results.shots.len() == 60 && on.results.shots.iter().all(|shot| shot.streamer == at));
+    let lowest = on.results.rungs.iter().map(|(_, rung)| *rung).min();
+    assert!(lowest >= Some(1), "sixty share what seven streams would take: {lowest:?}");
+    on.results.clear();
+    handles[0].load(&mut on, now, Load { streams: Some(30.0), ..Load::link(0.6) });
+    handles.push(on.take(now, &wish(60, FREE, "t", 0, now + seconds(9.0))));
+    assert_eq!(on.results.shots[0].streamer, at, "it takes no place");
+    // What was booked comes back whole, in whatever order they leave.
+    for handle in handles.into_iter().skip(1) {
+        handle.ended(&mut on, now, Ending::Served, true, Load::default());
+    }
+    on.results.clear();
+    let full = |id: u32| wish(id, PAID, "u", 0, now + seconds(9.0));
+    for id in 100..160 {
+        on.take(now, &full(id));
+    }
+    assert!(on.results.shots.len() >= 40, "{} where one viewer is left", on.results.shots.len());
+}
+
+/// One of many who share a stream stepped alone, which opened a second one beside the first.
+#[test]
+fn those_who_share_a_stream_step_together() {
+    let (mut on, now) = live();
+    let mut playing = Vec::new();
+    for id in 0..20 {
+        playing.push(on.inherit(now, &wish(id, FREE, "t", 0, now), "s0"));
+        playing[id as usize].at_rung(&mut on, now, 3);
+    }
+    on.results.clear();
+    playing[0].short(&mut on, now + seconds(2.0), 0.6);
+    assert_eq!(on.results.rungs.len() % 20, 0, "all or none");
+    assert!(!on.results.rungs.is_empty() && on.results.rungs[..20].iter().all(|(_, rung)| *rung == 2));
+}
