Looks only where they tell of links; no news at all leaves the own account

Cause: the module took it that links are told of. WIRE's `report.how` may be `probe` or `none`, its names may lack the link, and `told_every` may be 0. Then (control.rs) `lapse` ran out a second after any news, `place` took three looks that told nothing before each wish and started a rung lower for good, `climb` never ran, and `fullness` kept one short note for ever. No earlier deployment has this: all report links in answers, with notes every 2 to 5 s.

Change: the sheet says how links are told of; looks only where they tell, notes are overdue only where they come, and without any news the own account decides.

--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -89,6 +89,16 @@
         };
         sheet.insert(format!("lanes.{i}.repeat"), Value::Text(repeat.to_owned()));
     }
+    let report = |name: &str| config.get("report").and_then(|report| report.get(name));
+    let names = report("names").and_then(Json::as_array);
+    let link = names.into_iter().flatten().any(|name| matches!(name.as_str(), Some("x0" | "cpu_share")));
+    let told = match report("how").and_then(Json::as_str) {
+        Some("answers") if link => "answers",
+        Some("probe") if link => "looks",
+        Some(_) => "never",
+        None => "answers",
+    };
+    sheet.insert("links.told".to_owned(), Value::Text(told.to_owned()));
     let on_request = config.get("membership_mode").and_then(Json::as_str) == Some("on_request");
     sheet.insert("list.on_request".to_owned(), Value::Flag(on_request));
     sheet
--- a/src/control.rs
+++ b/src/control.rs
@@ -314,12 +314,13 @@
             return self.give_up(place);
         };
         // Hundreds of controllers each hear from few streamers: a holder without news is looked at first.
-        let unheard = self.streamers[at].link.told.is_none_or(|told| now - told > self.rules.lapse());
+        let told = self.streamers[at].link.told;
+        let unheard = self.rules.tells() && told.is_none_or(|told| now - told > self.rules.lapse());
         // Symptom: starts that step down within a second, as their holder turns out to be crowded.
         let rung = if unheard { rung.saturating_sub(1).max(floor) } else { rung };
         let (held, goal) = (&mut self.held[place], self.lanes[lane].goal);
         let early = held.shots == 0 && held.looks < LOOKS && held.cut_off - now > goal;
-        if unheard && early && flag(&self.rules.sheet, "looks.allowed") {
+        if unheard && early && self.rules.looks_tell() {
             held.looks += 1;
             (held.streamer, held.changed) = (at, now);
             return self.results.looks.push(self.streamers[at].name.clone());
@@ -462,7 +463,8 @@
     /// fleet's mean. Symptom: a silent or new link that looks empty draws everything.
     fn fullness(&self, now: Point, at: usize) -> f64 {
         let link = &self.streamers[at].link;
-        let Some(told) = link.told else {
+        let lasts = |told: &Point| self.rules.tells() || now - *told <= self.rules.lapse();
+        let Some(told) = link.told.filter(lasts) else {
             let others = 1.0 - 1.0 / self.rules.controllers();
             return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.fleet.mean_full.min(FILL);
         };
@@ -747,7 +749,9 @@
     fn climb(&mut self, now: Point, at: usize) {
         let streamer = &self.streamers[at];
         let spent = |told| now - told > self.rules.lapse() || told <= streamer.acted;
-        if streamer.link.told.is_none_or(spent) {
+        // Where nobody ever tells, the own account does. Symptom: all stay at the rung of their start.
+        let blind = !self.rules.tells() && now - streamer.acted > Span::of(QUIET.1);
+        if !blind && streamer.link.told.is_none_or(spent) {
             return;
         }
         let full = self.fullness(now, at).max(self.uplink_fullness(now, at)).max(0.02);
@@ -897,11 +901,25 @@
         (flag(&self.sheet, "retry_after.allowed") && longest > Span::ZERO).then_some(longest)
     }
 
-    /// After so long the next note is overdue.
+    /// After so long the next note is overdue; where none comes by itself, what was told is old.
     fn lapse(&self) -> Span {
+        if self.number("notes.every", 1.0) <= 0.0 {
+            return Span::of(STALE / 2.0);
+        }
         span(&self.sheet, "notes.age") + span(&self.sheet, "notes.every") * 1.5
     }
 
+    /// Whether a look brings news of a link. Symptom: looks that tell nothing, three before every wish.
+    fn looks_tell(&self) -> bool {
+        flag(&self.sheet, "looks.allowed") && text(&self.sheet, "links.told") != Some("never")
+    }
+
+    /// Whether anything tells how full links are, but for short delivery: notes, answers or looks.
+    fn tells(&self) -> bool {
+        let by_answers = !matches!(text(&self.sheet, "links.told"), Some("never" | "looks"));
+        by_answers || self.looks_tell() || self.number("notes.every", 1.0) > 0.0
+    }
+
     /// Streams that a kind of machine runs at most.
     fn places(&self, kind: &str) -> f64 {
         let of = (0..).map_while(|i| Some((i, text(&self.sheet, &format!("kinds.{i}"))?)));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -652,3 +652,50 @@
     assert_eq!(on.results.rungs.len() % 20, 0, "all or none");
     assert!(!on.results.rungs.is_empty() && on.results.rungs[..20].iter().all(|(_, rung)| *rung == 2));
 }
+
+/// A controller in the middle of its day that may look, on a fleet whose links are told of in this way.
+fn told(how: &str, every: f64) -> (Controller, Point) {
+    let start = Point::at(100.0);
+    let mut settings = sheet(0, 1, &[("notes.every", every)]);
+    settings.insert("looks.allowed".to_owned(), Value::Flag(true));
+    settings.insert("links.told".to_owned(), Value::Text(how.to_owned()));
+    let mut on = Controller::start(start, 7, &settings);
+    on.learn(start, &fleet(), true);
+    on.results.clear();
+    (on, start + seconds(COLD))
+}
+
+/// Looks that bring no figure of the link were taken before each wish, three at a time.
+#[test]
+fn a_look_is_taken_only_where_it_tells_of_the_link() {
+    for (how, every, looks) in [("answers", 3.0, 1), ("looks", 0.0, 1), ("never", 3.0, 0), ("never", 0.0, 0)]
+    {
+        let (mut on, now) = told(how, every);
+        on.take(now, &wish(1, FREE, "t", 0, now + seconds(9.0)));
+        assert_eq!((on.results.looks.len(), on.results.shots.len()), (looks, 1 - looks), "{how}, {every}");
+    }
+    let (mut on, now) = told("looks", 0.0);
+    on.looked(now, "s0", true, Load::link(0.1));
+    on.take(now + seconds(9.0), &Wish { copies: 1, ..wish(1, FREE, "t", 0, now + seconds(19.0)) });
+    assert_eq!(on.results.shots.len(), 1, "no note is overdue where none comes");
+}
+
+/// Where nothing ever tells of a link, starts were a rung lower for good and one short note shut it for good.
+#[test]
+fn without_any_news_of_links_the_own_account_decides() {
+    let (mut on, now) = told("never", 0.0);
+    let one = |id: u32, at: Point| Wish { copies: 1, ..wish(id, FREE, "t", 0, at + seconds(9.0)) };
+    let first = on.take(now, &one(1, now));
+    first.plays(&mut on, now);
+    assert_eq!(on.results.rungs, [(1, 2)], "the middle, no rung lower");
+    on.results.clear();
+    (1..60).for_each(|beat| on.wake(now + seconds(0.3 * f64::from(beat))));
+    assert!(on.results.rungs.len() >= 2, "it climbs in an empty fleet: {:?}", on.results.rungs);
+    let now = now + seconds(20.0);
+    first.short(&mut on, now, 0.5);
+    on.results.clear();
+    for (id, wait, shots) in [(2, 2.0, 0), (3, 17.0, 1)] {
+        on.take(now + seconds(wait), &one(id, now + seconds(wait)));
+        assert_eq!(on.results.shots.len(), shots, "{wait} s after the short note");
+    }
+}
