Settings that can't be used are named; turn-backs by the desk say when to come

Cause: the sheet left out what it could not read, and module and desk then took a fallback without a word: no warm-up, one streamer place, cut-offs of 5 s, an unknown effect as paid (sheet lib.rs `sheet`, serve.rs `terms`). A weight of source `live` falls with load and was taken for the size.

Change: every setting has a form and says whether it may be absent; an error names the place and the remedy, and adapter and program end with it. What nobody reads went out of the sheet. The desk asks the module when to come again. Under live weights the largest seen is the size.

--- a/crates/lemontide-drill/src/wire.rs
+++ b/crates/lemontide-drill/src/wire.rs
@@ -155,7 +155,8 @@
         match name {
             "Attach" => {
                 let attach: Attach = decode(name, body)?;
-                let sheet = lemontide_sheet::sheet(&attach.config);
+                let sheet =
+                    lemontide_sheet::sheet(&attach.config).map_err(|e| format!("{name}: config.{e}"))?;
                 let reports = attach.config.pointer("/report/names").and_then(Json::as_array);
                 let host = Host {
                     controller: Controller::start(now, attach.rng_seed, &sheet),
@@ -324,3 +325,99 @@
         output.push(json!({"Schedule": {"span": span, "nonce": 1}}));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The first message's settings: a live lane with two seats a title, and a paid one whose floor is rung 1.
+    fn config() -> Json {
+        let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 1, "hard_limit": 3, "effect": effect});
+        json!({
+            "me": 0, "peers_total": 1, "zone": "a", "kinds": ["std"], "weight_source": "nominal",
+            "membership_mode": "on_request", "classes": [lane("live", "read_like"), lane("paid", "non_idempotent")],
+            "family_info": {"kind_slots": [300], "positions": 1, "lowest_rung": [0, 1], "top_by_class": [2, 2],
+                "class_scale": [1, 1], "class_seats": [2, 0], "live": [true, false], "join": 0.2,
+                "rung_kb": [100, 200, 400], "worth_by_rung": [0.3, 0.6, 1], "kb_per_weight": 1e6, "racks": 1,
+                "rack_link_kb": 1e7, "seen_after": 1, "told_every": 3},
+            "policy_limits": {"try_limit": 3, "retry_after": true, "max_retry_after": 0.5},
+            "report": {"how": "answers", "names": ["x0"]},
+            "rules": {"ask_within": 10, "cold": 0, "cold_from": 1, "fall_multiple": 2, "fall": 1}
+        })
+    }
+
+    /// What the instance did about these events, by the names of the actions.
+    fn play(hosts: &mut Hosts, time: f64, happened: Json) -> Vec<(String, Json)> {
+        let batch = json!({"time": time, "parts": [{"controller": 0, "happened": happened}]});
+        let reply = hosts.batch(batch.to_string().as_bytes()).expect("a batch");
+        let output = reply.pointer("/parts/0/output").and_then(Json::as_array).cloned().unwrap_or_default();
+        let action = |one: &Json| one.as_object().and_then(|one| one.clone().into_iter().next());
+        output.iter().filter_map(action).collect()
+    }
+
+    fn start(hosts: &mut Hosts) -> Vec<(String, Json)> {
+        let members = json!([{"streamer": "s0", "site": "a", "sku": "std", "slot_no": 0, "stage_state": "IN", "capacity_hint": 1}]);
+        play(
+            hosts,
+            100.0,
+            json!([{"Attach": {"rng_seed": 7, "config": config()}},
+                {"Directory": {"page": 0, "members": members}},
+                {"Registry": {"page": 0, "form": "warm_copy", "index": 1}}]),
+        )
+    }
+
+    fn names(actions: &[(String, Json)]) -> Vec<&str> {
+        actions.iter().map(|(name, _)| &name[..]).collect()
+    }
+
+    #[test]
+    fn a_list_on_request_is_asked_for_and_asked_for_again_when_lost() {
+        let mut hosts = Hosts::default();
+        assert_eq!(names(&start(&mut hosts)), ["Schedule"], "the list of the start is no answer");
+        let beat = |hosts: &mut Hosts, time| play(hosts, time, json!([{"Reminder": {"nonce": 1}}]));
+        let asked = beat(&mut hosts, 100.5);
+        assert!(asked.contains(&("Track".to_owned(), json!({"want": true}))), "{asked:?}");
+        assert!(!names(&beat(&mut hosts, 101.0)).contains(&"Track"), "once");
+        play(&mut hosts, 101.1, json!([{"Registry": {"page": 0, "form": "lost", "index": 0}}]));
+        let again = (1..20).any(|i| names(&beat(&mut hosts, 101.1 + 0.3 * f64::from(i))).contains(&"Track"));
+        assert!(again);
+        play(&mut hosts, 114.0, json!([{"Registry": {"page": 0, "form": "incr", "index": 2}}]));
+        let idle = (1..60).any(|i| names(&beat(&mut hosts, 114.0 + 0.3 * f64::from(i))).contains(&"Track"));
+        assert!(!idle, "it is followed");
+    }
+
+    #[test]
+    fn seats_floors_and_titles_without_holders_are_answered_at_once() {
+        let mut hosts = Hosts::default();
+        start(&mut hosts);
+        let wish = |id: u32, lane: &str, top: usize, span: usize| {
+            json!({"Request": {"op_id": id, "priority": lane, "entity": "w", "title": "t", "give_up_at": 113.0, "base": 0,
+                "span": span, "top": top}})
+        };
+        let taken = play(&mut hosts, 110.0, json!([wish(1, "live", 2, 1), wish(2, "live", 2, 1)]));
+        assert_eq!(names(&taken), ["Grade", "Assign", "Grade", "Assign"]);
+        for (id, lane, top, span, why) in [
+            (3, "live", 2, 1, "both seats of the title are taken"),
+            (4, "paid", 0, 1, "its screen shows nothing of this lane"),
+            (5, "paid", 2, 0, "nobody holds it"),
+        ] {
+            let answer = play(&mut hosts, 110.0, json!([wish(id, lane, top, span)]));
+            assert_eq!(answer, [("SayNo".to_owned(), json!({"op_id": id, "retry_in": 0.5}))], "{why}");
+        }
+        let paid = play(&mut hosts, 110.0, json!([wish(6, "paid", 2, 1)]));
+        assert!(
+            paid.iter().all(|(name, body)| name != "Grade" || body["level"].as_u64() >= Some(1)),
+            "{paid:?}"
+        );
+    }
+
+    #[test]
+    fn settings_that_can_not_be_used_end_the_run_and_are_named() {
+        let mut config = config();
+        config["rules"]["fall"] = json!("soon");
+        let batch =
+            json!({"time": 1, "parts": [{"controller": 0, "happened": [{"Attach": {"config": config}}]}]});
+        let error = Hosts::default().batch(batch.to_string().as_bytes()).expect_err("refused");
+        assert!(error.starts_with("Attach: config.rules.fall: not usable; give"), "{error}");
+    }
+}
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -488,7 +488,7 @@
         let late = self.stops.is_some_and(|since| now - since > LAST_CALL);
         if late || crowded || self.held.len() >= self.terms.held_most {
             self.turn_away(conn, session);
-            return self.say(conn, session, Body::release(cause::TURNED_BACK));
+            return self.say(conn, session, turned_back(self.module.come_again()));
         }
         let handle = self.module.take(now, &wish);
         self.held.insert(id, held(handle, "".into(), None));
@@ -895,9 +895,7 @@
                 self.shoot(now, &shot);
             }
             for (id, after) in results.turned_back.drain(..) {
-                let stay_away_ms = after.map(|after| (after.seconds() * 1e3).round() as u64);
-                let body = Body::Release { cause: cause::TURNED_BACK, stay_away_ms, load: Load::default() };
-                self.finish(id, body);
+                self.finish(id, turned_back(after));
             }
             for id in results.scrapped.drain(..) {
                 self.finish(id, Body::release(cause::BROKEN));
@@ -997,3 +995,9 @@
         Some(link)
     }
 }
+
+/// The answer to a wish that is turned back, with the time to come again where there is one.
+fn turned_back(after: Option<Span>) -> Body {
+    let stay_away_ms = after.map(|after| (after.seconds() * 1e3).round() as u64);
+    Body::Release { cause: cause::TURNED_BACK, stay_away_ms, load: Load::default() }
+}
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -34,24 +34,28 @@
 /// And it never outlasts this: by then the longest cut-off is over.
 const STOP_MOST: Span = Span::of_millis(8000);
 
-/// What the desk itself needs to know of the settings.
-pub fn terms(sheet: &Sheet, settings: &serde_json::Value, sockets: usize) -> Terms {
+/// What the desk itself needs to know of the settings; an error names the one that can't be used.
+pub fn terms(sheet: &Sheet, settings: &serde_json::Value, sockets: usize) -> Result<Terms, String> {
     let named = |list: &'static str| {
         (0..).map_while(move |i| Some((i, text(sheet, &format!("{list}.{i}.name"))?.to_owned())))
     };
-    let cut_off = |i| Span::of(number(sheet, &format!("lanes.{i}.cut_off")).unwrap_or(5.0));
-    let limit = |name: &str| settings.pointer(&format!("/policy_limits/{name}")).and_then(|v| v.as_f64());
-    Terms {
+    let cut_off = |i| Span::of(number(sheet, &format!("lanes.{i}.cut_off")).unwrap_or_default());
+    let limit = |name: &str| {
+        let value = settings.pointer(&format!("/policy_limits/{name}")).and_then(|v| v.as_f64());
+        let above = value.filter(|value| *value > 0.0);
+        above.ok_or_else(|| format!("policy_limits.{name}: missing or not usable; give a number above 0"))
+    };
+    Ok(Terms {
         lanes: named("lanes").map(|(i, name)| (name, cut_off(i))).collect(),
         tenants: named("tenants").map(|(_, name)| name).collect(),
         cells: number(sheet, "cells").unwrap_or(1.0).max(1.0) as usize,
         rungs: lemontide::interface::row(sheet, "ladder.kb").len().max(1),
-        dial_timeout: Span::of(limit("dial_timeout").unwrap_or(0.25)),
-        set_ups_a_link: limit("streams_per_conn").unwrap_or(32.0).max(1.0) as usize,
+        dial_timeout: Span::of(limit("dial_timeout")?),
+        set_ups_a_link: limit("streams_per_conn")?.max(1.0) as usize,
         // Viewers hold a third of the descriptors at most; as many again are for the streamers.
         links_most: sockets / 3,
         held_most: HELD_MOST,
-    }
+    })
 }
 
 /// Runs one controller until the platform stops it.
@@ -149,8 +153,12 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let clock = Clock::start();
     let now = || Point::at(clock.now());
-    let sheet = lemontide_sheet::sheet(&config.settings);
-    let terms = terms(&sheet, &config.settings, config.limits.sockets);
+    let unusable = |e: String| {
+        let file = file.as_deref().unwrap_or_else(|| "configuration".as_ref()).display();
+        io::Error::new(io::ErrorKind::InvalidData, format!("{file}: at settings.{e}"))
+    };
+    let sheet = lemontide_sheet::sheet(&config.settings).map_err(unusable)?;
+    let terms = terms(&sheet, &config.settings, config.limits.sockets).map_err(unusable)?;
     let viewers_most = config.limits.sockets.saturating_sub(OWN_SOCKETS + terms.links_most).max(1);
     let (from_viewers, mut viewers_said) = mpsc::channel(REPORTS_MOST);
     let (from_streamers, mut streamers_said) = mpsc::channel(REPORTS_MOST);
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -22,11 +22,13 @@
         "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
         "tenants": [{"name": "acme", "quota_per_s": 1000, "share": 1}],
         "family_info": {"kind_slots": [3000], "positions": STREAMERS, "lowest_rung": [0, 0], "top_by_class": [2, 2],
-            "class_scale": [1, 1], "rung_kb": [200, 400, 800], "worth_by_rung": [0.3, 0.6, 1.0],
+            "class_scale": [1, 1], "class_seats": [0, 0], "live": [false, false], "join": 1, "rung_kb": [200, 400, 800], "worth_by_rung": [0.3, 0.6, 1.0],
             "kb_per_weight": 1e7, "rack_link_kb": 1e8, "racks": 1, "seen_after": 1, "told_every": 3},
         "policy_limits": {"try_limit": 3, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
             "streams_per_conn": 32},
-        "rules": {"cold": 10, "cold_from": 0.5, "fall_multiple": 2.5, "fall": 1}
+        "membership_mode": "pushed", "weight_source": "nominal",
+        "report": {"how": "answers", "names": ["busy_reqs", "x0"]},
+        "rules": {"ask_within": 10, "cold": 10, "cold_from": 0.5, "fall_multiple": 2.5, "fall": 1}
     })
 }
 
@@ -77,9 +79,13 @@
 impl World {
     /// Young controllers hold back, so the world begins a while after the start.
     pub fn new() -> World {
+        World::of(settings())
+    }
+
+    pub fn of(settings: Json) -> World {
         let now = Point::at(1000.0);
-        let sheet = lemontide_sheet::sheet(&settings());
-        let terms = serve::terms(&sheet, &settings(), 256);
+        let sheet = lemontide_sheet::sheet(&settings).expect("usable settings");
+        let terms = serve::terms(&sheet, &settings, 256).expect("usable settings");
         let mut world = World {
             desk: Desk::start(now, 7, &sheet, terms),
             now,
--- a/crates/lemontide-platform/tests/desk.rs
+++ b/crates/lemontide-platform/tests/desk.rs
@@ -3,11 +3,12 @@
 mod common;
 
 use bytes::Bytes;
-use common::{entry, wish, World, STREAMERS, VIEWERS};
+use common::{entry, settings, wish, World, STREAMERS, VIEWERS};
 use lemontide_platform::codec::{cause, Body, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::desk::Loss;
 use proptest::prelude::*;
+use serde_json::{json, Value as Json};
 
 #[test]
 fn a_wish_plays_and_ends_and_leaves_nothing() {
@@ -465,3 +466,59 @@
         }
     }
 }
+
+/// The usual settings with some places replaced.
+fn with(places: &[(&str, Json)]) -> World {
+    let mut settings = settings();
+    for (place, value) in places {
+        *settings.pointer_mut(place).expect("it is there") = value.clone();
+    }
+    World::of(settings)
+}
+
+/// No turn-back is held: it is said in the moment of the decision, with when to come again where that is allowed.
+#[test]
+fn a_turn_back_is_said_at_once_with_when_to_come_again() {
+    for allowed in [true, false] {
+        let seats = ("/family_info/class_seats", json!([1, 0]));
+        let mut world = with(&[seats, ("/policy_limits/retry_after", json!(allowed))]);
+        let stay_away = |world: &World, session| match world.heard(session)[..] {
+            [Body::Release { cause: cause::TURNED_BACK, stay_away_ms, .. }] => *stay_away_ms,
+            ref other => panic!("one turn-back at once, not {other:?}"),
+        };
+        let due = allowed.then_some(500);
+        world.playing("free");
+        let no_seat = world.ask("free");
+        assert_eq!((stay_away(&world, no_seat), world.shots(no_seat)), (due, 0));
+        let tries = world.ask_on(VIEWERS, SetUp { title: "other".into(), ..wish("free") });
+        (0..2).for_each(|_| world.ends(tries, cause::FULL));
+        assert_eq!(world.answered(tries), None, "it may have one more");
+        world.ends(tries, cause::FULL);
+        assert_eq!(stay_away(&world, tries), due, "with the last shot");
+        world.desk.stop(world.now);
+        world.pass(0.7);
+        let late = world.ask("paid");
+        assert_eq!(stay_away(&world, late), due, "what the desk turns back by itself");
+    }
+}
+
+/// What a moved deployment may bring: live titles whose viewers share a stream, and a list on request, which the
+/// journal service tells all the same.
+#[test]
+fn viewers_of_a_live_title_go_to_one_streamer_and_a_list_on_request_is_followed() {
+    let mut world = with(&[
+        ("/family_info/live", json!([true, false])),
+        ("/family_info/join", json!(0.1)),
+        ("/family_info/kb_per_weight", json!(3000)),
+        ("/membership_mode", json!("on_request")),
+        ("/rules/ask_within", json!(10)),
+    ]);
+    let first = world.playing("free").1;
+    for _ in 0..20 {
+        let (_, link) = world.playing("free");
+        assert_eq!(world.address[&link], world.address[&first]);
+    }
+    world.pass(30.0);
+    world.news(entry(0, "terminating"));
+    assert_eq!((world.desk.in_hand(), world.said.len()), (21, 21), "nobody is told anything");
+}
--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -4,116 +4,232 @@
 use lemontide::interface::{Load, Sheet, Value};
 use serde_json::Value as Json;
 
-/// Where the wire keeps a setting, and what we call it; lists keep their index behind the name.
-const NAMES: &[(&str, &str)] = &[
-    ("me", "me"),
-    ("peers_total", "controllers"),
-    ("zone", "zone"),
-    ("areas", "zones"),
-    ("kinds", "kinds"),
-    ("over_share_worth", "over_share_gain"),
-    ("family_info.kind_slots", "kind_streams"),
-    ("family_info.positions", "cells"),
-    ("family_info.lowest_rung", "lane_floor"),
-    ("family_info.top_by_class", "lane_top"),
-    ("family_info.class_scale", "lane_scale"),
-    ("family_info.class_seats", "lane_seats"),
-    ("family_info.live", "lane_live"),
-    ("family_info.rung_kb", "ladder.kb"),
-    ("family_info.worth_by_rung", "ladder.gain"),
-    ("family_info.join", "ladder.join"),
-    ("family_info.shortfall_cost", "ladder.shortfall_cost"),
-    ("family_info.switch_cost_s", "ladder.switch_cost"),
-    ("family_info.kb_per_weight", "link.kb_per_weight"),
-    ("family_info.links_kb", "link.total_kb"),
-    ("family_info.guard", "link.guard"),
-    ("family_info.rack_link_kb", "rack.kb"),
-    ("family_info.racks", "rack.count"),
-    ("family_info.seen_after", "notes.age"),
-    ("family_info.told_every", "notes.every"),
-    ("policy_limits.try_limit", "shots.most"),
-    ("policy_limits.retry_after", "retry_after.allowed"),
-    ("policy_limits.max_retry_after", "retry_after.longest"),
-    ("policy_limits.may_probe", "looks.allowed"),
-    ("policy_limits.peers", "messages.allowed"),
-    ("charges.moves", "charges.moves"),
-    ("charges.cross_zone", "charges.cross_zone"),
-    ("rules.ask_within", "list.ask_within"),
-    ("rules.cold", "cold.span"),
-    ("rules.cold_from", "cold.from"),
-    ("rules.fall_multiple", "cold.multiple"),
-    ("rules.fall", "cold.window"),
-    ("rules.extra_floor", "ration.floor"),
-    ("rules.extra_ratio", "ration.share"),
-    ("rules.look_back", "ration.window"),
+/// What a setting has to be; a list is spelled out, with its index behind the name.
+#[derive(Clone, Copy, PartialEq)]
+enum Form {
+    /// A number of 0 or more.
+    Figure,
+    Word,
+    /// Yes or no; where it is absent, no.
+    Switch,
+    /// One for each lane, or as many as there are.
+    Figures,
+    Words,
+    Switches,
+}
+
+/// Whether a setting may be absent. Those that may are named so by the wire, or mean nothing where they are.
+#[derive(Clone, Copy, PartialEq)]
+enum Need {
+    Must,
+    May,
+    /// One for each lane.
+    EachLane,
+}
+
+use Form::{Figure, Figures, Switch, Switches, Word, Words};
+use Need::{EachLane, May, Must};
+
+/// Where the wire keeps a setting, and what we call it.
+const NAMES: &[(&str, &str, Form, Need)] = &[
+    ("me", "me", Figure, Must),
+    ("peers_total", "controllers", Figure, Must),
+    ("zone", "zone", Word, May),
+    ("kinds", "kinds", Words, Must),
+    ("over_share_worth", "over_share_gain", Figure, May),
+    ("family_info.kind_slots", "kind_streams", Figures, Must),
+    ("family_info.positions", "cells", Figure, Must),
+    ("family_info.lowest_rung", "lane_floor", Figures, EachLane),
+    ("family_info.top_by_class", "lane_top", Figures, EachLane),
+    ("family_info.class_scale", "lane_scale", Figures, EachLane),
+    ("family_info.class_seats", "lane_seats", Figures, EachLane),
+    ("family_info.live", "lane_live", Switches, EachLane),
+    ("family_info.rung_kb", "ladder.kb", Figures, Must),
+    ("family_info.worth_by_rung", "ladder.gain", Figures, Must),
+    ("family_info.join", "ladder.join", Figure, Must),
+    ("family_info.kb_per_weight", "link.kb_per_weight", Figure, Must),
+    ("family_info.rack_link_kb", "rack.kb", Figure, Must),
+    ("family_info.racks", "rack.count", Figure, Must),
+    ("family_info.seen_after", "notes.age", Figure, Must),
+    ("family_info.told_every", "notes.every", Figure, Must),
+    ("policy_limits.try_limit", "shots.most", Figure, Must),
+    ("policy_limits.retry_after", "retry_after.allowed", Switch, May),
+    ("policy_limits.max_retry_after", "retry_after.longest", Figure, May),
+    ("policy_limits.may_probe", "looks.allowed", Switch, May),
+    ("charges.cross_zone", "charges.cross_zone", Figure, May),
+    ("rules.ask_within", "list.ask_within", Figure, May),
+    ("rules.cold", "cold.span", Figure, Must),
+    ("rules.cold_from", "cold.from", Figure, Must),
+    ("rules.fall_multiple", "cold.multiple", Figure, Must),
+    ("rules.fall", "cold.window", Figure, Must),
+    ("rules.extra_floor", "ration.floor", Figure, May),
+    ("rules.extra_ratio", "ration.share", Figure, May),
+    ("rules.look_back", "ration.window", Figure, May),
+];
+
+/// Fields of the wire's lists of classes and tenants.
+const FIELDS: &[(&str, &str, &str, &str, Form, Need)] = &[
+    ("classes", "name", "lanes", "name", Word, Must),
+    ("classes", "worth", "lanes", "gain", Figure, Must),
+    ("classes", "aim", "lanes", "latency_goal", Figure, Must),
+    ("classes", "hard_limit", "lanes", "cut_off", Figure, Must),
+    ("tenants", "name", "tenants", "name", Word, Must),
+    ("tenants", "quota_per_s", "tenants", "quota_per_s", Figure, May),
 ];
 
-/// Fields of the wire's list of classes and tenants.
-const FIELDS: &[(&str, &str, &str, &str)] = &[
-    ("classes", "name", "lanes", "name"),
-    ("classes", "worth", "lanes", "gain"),
-    ("classes", "aim", "lanes", "latency_goal"),
-    ("classes", "hard_limit", "lanes", "cut_off"),
-    ("tenants", "name", "tenants", "name"),
-    ("tenants", "quota_per_s", "tenants", "quota_per_s"),
-    ("tenants", "share", "tenants", "share"),
+/// Words of the wire that stand for one of a few things.
+const CHOICES: &[(&str, &[&str])] = &[
+    ("membership_mode", &["pushed", "on_request"]),
+    ("report.how", &["answers", "probe", "none"]),
+    ("weight_source", &["none", "nominal", "rough", "live"]),
 ];
 
-pub fn sheet(config: &Json) -> Sheet {
+/// Turns the settings into the module's map. An error names the setting and what to give there.
+pub fn sheet(config: &Json) -> Result<Sheet, String> {
     let mut sheet = Sheet::new();
-    for (wire, ours) in NAMES {
-        let value = wire.split('.').try_fold(config, |at, key| at.get(key));
-        match value {
-            Some(Json::Array(values)) => {
-                for (i, value) in values.iter().enumerate() {
-                    put(&mut sheet, format!("{ours}.{i}"), value);
+    let classes = rows(config, "classes")?;
+    for (wire, ours, form, need) in NAMES {
+        let value = find(config, wire);
+        match (form, value) {
+            (_, None) if *need == May => {}
+            (_, None) => return Err(format!("{wire}: it is missing; {}", form.remedy())),
+            (Figure | Word | Switch, Some(value)) => put(&mut sheet, wire, (*ours).to_owned(), value, *form)?,
+            (_, Some(value)) => {
+                let of = value.as_array().ok_or_else(|| format!("{wire}: no list; {}", form.remedy()))?;
+                if *need == EachLane && of.len() != classes.len() {
+                    let (told, lanes) = (of.len(), classes.len());
+                    return Err(format!("{wire}: {told} for {lanes} classes; give one for each, in order"));
+                }
+                for (i, value) in of.iter().enumerate() {
+                    put(&mut sheet, &format!("{wire}.{i}"), format!("{ours}.{i}"), value, *form)?;
                 }
             }
-            Some(value) => put(&mut sheet, (*ours).to_owned(), value),
-            None => {}
         }
     }
-    for (wire, field, ours, name) in FIELDS {
-        let rows = config.get(wire).and_then(Json::as_array);
-        for (i, row) in rows.into_iter().flatten().enumerate() {
-            if let Some(value) = row.get(field) {
-                put(&mut sheet, format!("{ours}.{i}.{name}"), value);
+    for (wire, field, ours, name, form, need) in FIELDS {
+        for (i, row) in rows(config, wire)?.iter().enumerate() {
+            let place = format!("{wire}.{i}.{field}");
+            match row.get(field).filter(|value| !value.is_null()) {
+                Some(value) => put(&mut sheet, &place, format!("{ours}.{i}.{name}"), value, *form)?,
+                None if *need == May => {}
+                None => return Err(format!("{place}: it is missing; {}", form.remedy())),
             }
         }
     }
-    for (i, row) in config.get("classes").and_then(Json::as_array).into_iter().flatten().enumerate() {
+    for (i, row) in classes.iter().enumerate() {
         let repeat = match row.get("effect").and_then(Json::as_str) {
             Some("read_like") => "free",
             Some("idempotency_key") => "keyed",
-            _ => "paid",
+            Some("non_idempotent") => "paid",
+            _ => {
+                let known = "read_like, idempotency_key or non_idempotent";
+                return Err(format!("classes.{i}.effect: not known; give {known}"));
+            }
         };
         sheet.insert(format!("lanes.{i}.repeat"), Value::Text(repeat.to_owned()));
     }
-    let report = |name: &str| config.get("report").and_then(|report| report.get(name));
-    let names = report("names").and_then(Json::as_array);
+    for (wire, known) in CHOICES {
+        let word = find(config, wire).map(|value| value.as_str().unwrap_or_default());
+        if word.is_none_or(|word| !known.contains(&word)) {
+            return Err(format!("{wire}: missing or not known; give one of {}", known.join(", ")));
+        }
+    }
+    together(config)?;
+    let names = find(config, "report.names").and_then(Json::as_array);
     let link = names.into_iter().flatten().any(|name| matches!(name.as_str(), Some("x0" | "cpu_share")));
-    let told = match report("how").and_then(Json::as_str) {
+    let told = match find(config, "report.how").and_then(Json::as_str) {
         Some("answers") if link => "answers",
         Some("probe") if link => "looks",
-        Some(_) => "never",
-        None => "answers",
+        _ => "never",
     };
     sheet.insert("links.told".to_owned(), Value::Text(told.to_owned()));
-    let on_request = config.get("membership_mode").and_then(Json::as_str) == Some("on_request");
-    sheet.insert("list.on_request".to_owned(), Value::Flag(on_request));
-    sheet
+    let is = |wire, word| Value::Flag(find(config, wire).and_then(Json::as_str) == Some(word));
+    sheet.insert("list.on_request".to_owned(), is("membership_mode", "on_request"));
+    sheet.insert("link.weight_is_live".to_owned(), is("weight_source", "live"));
+    Ok(sheet)
+}
+
+/// Settings that say something only together, and figures that nothing could be done with.
+fn together(config: &Json) -> Result<(), String> {
+    let figure = |wire| find(config, wire).and_then(Json::as_f64);
+    let length = |wire| find(config, wire).and_then(Json::as_array).map_or(0, Vec::len);
+    for (wire, least) in
+        [("peers_total", 1.0), ("family_info.positions", 1.0), ("policy_limits.try_limit", 1.0)]
+    {
+        if figure(wire).is_some_and(|value| value < least) {
+            return Err(format!("{wire}: below {least}; give {least} or more"));
+        }
+    }
+    for (wire, other) in
+        [("family_info.worth_by_rung", "family_info.rung_kb"), ("family_info.kind_slots", "kinds")]
+    {
+        let (told, of) = (length(wire), length(other));
+        if told != of || of == 0 {
+            return Err(format!("{wire}: {told} for {of} in {other}; give one for each, and one at least"));
+        }
+    }
+    let by_request = find(config, "membership_mode").and_then(Json::as_str) == Some("on_request");
+    let needs = [
+        ("rules.ask_within", by_request, "membership_mode on_request"),
+        ("rules.look_back", figure("rules.extra_ratio").is_some(), "rules.extra_ratio"),
+        ("rules.extra_floor", figure("rules.extra_ratio").is_some(), "rules.extra_ratio"),
+        (
+            "policy_limits.max_retry_after",
+            find(config, "policy_limits.retry_after") == Some(&Json::Bool(true)),
+            "policy_limits.retry_after",
+        ),
+    ];
+    for (wire, needed, beside) in needs {
+        if needed && figure(wire).is_none() {
+            return Err(format!("{wire}: it is missing beside {beside}; give a number"));
+        }
+    }
+    Ok(())
 }
 
-fn put(sheet: &mut Sheet, name: String, value: &Json) {
-    let value = match value {
-        Json::Number(n) => n.as_f64().map(Value::Number),
-        Json::String(s) => Some(Value::Text(s.clone())),
-        Json::Bool(b) => Some(Value::Flag(*b)),
+fn find<'a>(config: &'a Json, wire: &str) -> Option<&'a Json> {
+    let found = wire.split('.').try_fold(config, |at, key| at.get(key));
+    found.filter(|value| !value.is_null())
+}
+
+/// The rows of a list of objects; an absent one has none.
+fn rows<'a>(config: &'a Json, wire: &str) -> Result<&'a [Json], String> {
+    match find(config, wire) {
+        None => Ok(&[]),
+        Some(Json::Array(rows)) => Ok(rows),
+        Some(_) => Err(format!("{wire}: no list; give a list of objects")),
+    }
+}
+
+impl Form {
+    fn remedy(self) -> &'static str {
+        match self {
+            Figure => "give a number of 0 or more",
+            Word => "give a text",
+            Switch => "give true or false",
+            Figures => "give a list of numbers of 0 or more",
+            Words => "give a list of texts",
+            Switches => "give a list of true and false",
+        }
+    }
+}
+
+fn put(sheet: &mut Sheet, place: &str, name: String, value: &Json, form: Form) -> Result<(), String> {
+    let value = match (form, value) {
+        (Figure | Figures, Json::Number(n)) => n.as_f64().filter(|n| *n >= 0.0).map(Value::Number),
+        (Word | Words, Json::String(s)) => Some(Value::Text(s.clone())),
+        (Switch | Switches, Json::Bool(b)) => Some(Value::Flag(*b)),
         _ => None,
     };
-    if let Some(value) = value {
-        sheet.insert(name, value);
-    }
+    let one = match form {
+        Figures => Figure,
+        Words => Word,
+        Switches => Switch,
+        one => one,
+    };
+    let value = value.ok_or_else(|| format!("{place}: not usable; {}", one.remedy()))?;
+    sheet.insert(name, value);
+    Ok(())
 }
 
 /// Reads one named figure of a load report into `load`; unknown names are skipped.
--- /dev/null
+++ b/crates/lemontide-sheet/tests/settings.rs
@@ -0,0 +1,77 @@
+//! Settings become the module's map, or an error that names the place and the remedy.
+
+use lemontide::interface::{flag, number, text};
+use lemontide_sheet::sheet;
+use serde_json::{json, Value as Json};
+
+/// Usable settings of two lanes, as a controller is handed them.
+fn settings() -> Json {
+    let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 1, "hard_limit": 3, "effect": effect});
+    json!({
+        "me": 0, "peers_total": 2, "zone": "a", "kinds": ["std"], "membership_mode": "pushed", "weight_source": "rough",
+        "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
+        "family_info": {"kind_slots": [30], "positions": 4, "lowest_rung": [0, 1], "top_by_class": [1, 1],
+            "class_scale": [1, 1.5], "class_seats": [0, 2], "live": [true, false], "join": 0.2, "rung_kb": [200, 400],
+            "worth_by_rung": [0.3, 1], "kb_per_weight": 1e4, "rack_link_kb": 1e5, "racks": 2, "seen_after": 1,
+            "told_every": 3},
+        "policy_limits": {"try_limit": 3}, "report": {"how": "answers", "names": ["busy_reqs", "x0"]},
+        "rules": {"cold": 10, "cold_from": 0.5, "fall_multiple": 2.5, "fall": 1}, "a key to come": [1, {"x": null}]
+    })
+}
+
+/// The same with one place replaced; `Json::Null` takes it out.
+fn with(place: &str, value: Json) -> Json {
+    let mut settings = settings();
+    let (above, name) = place.rsplit_once('/').expect("a place");
+    settings.pointer_mut(above).expect("it is there")[name] = value;
+    settings
+}
+
+#[test]
+fn usable_settings_are_spelled_out_and_unknown_ones_skipped() {
+    let sheet = sheet(&settings()).expect("usable");
+    assert_eq!((number(&sheet, "lane_seats.1"), number(&sheet, "lane_scale.1")), (Some(2.0), Some(1.5)));
+    assert_eq!((number(&sheet, "ladder.join"), text(&sheet, "lanes.1.repeat")), (Some(0.2), Some("paid")));
+    assert!(flag(&sheet, "lane_live.0") && !flag(&sheet, "lane_live.1"));
+    assert!(!flag(&sheet, "looks.allowed") && !flag(&sheet, "list.on_request"), "an absent yes is a no");
+}
+
+#[test]
+fn how_links_are_told_of_is_read_from_the_report() {
+    for (how, names, told) in [
+        ("answers", json!(["x1", "cpu_share"]), "answers"),
+        ("answers", json!(["busy_reqs"]), "never"),
+        ("probe", json!(["x0"]), "looks"),
+        ("none", json!([]), "never"),
+    ] {
+        let sheet = sheet(&with("/report", json!({"how": how, "names": names}))).expect("usable");
+        assert_eq!(text(&sheet, "links.told"), Some(told), "{how}");
+    }
+}
+
+/// What could not be read was left out without a word, and the module guessed.
+#[test]
+fn what_can_not_be_used_is_named_with_its_remedy() {
+    for (place, value, named) in [
+        ("/rules/cold", Json::Null, "rules.cold: it is missing; give a number"),
+        ("/rules/fall", json!("1"), "rules.fall: not usable; give a number"),
+        ("/family_info/rung_kb", json!([200, -1]), "family_info.rung_kb.1: not usable; give"),
+        ("/family_info/rung_kb", json!([]), "family_info.worth_by_rung: 2 for 0"),
+        ("/family_info/rung_kb", json!(7), "family_info.rung_kb: no list; give"),
+        ("/family_info/live", json!([true]), "family_info.live: 1 for 2 classes; give"),
+        ("/family_info/live", json!([1, 0]), "family_info.live.0: not usable; give true or false"),
+        ("/family_info/positions", json!(0), "family_info.positions: below 1; give"),
+        ("/kinds", json!(["a", "b"]), "family_info.kind_slots: 1 for 2 in kinds; give"),
+        ("/classes/0/effect", json!("maybe"), "classes.0.effect: not known; give"),
+        ("/classes/1/name", Json::Null, "classes.1.name: it is missing; give"),
+        ("/membership_mode", json!("asked"), "membership_mode: missing or not known; give"),
+        ("/membership_mode", json!("on_request"), "rules.ask_within: it is missing beside"),
+        ("/rules/extra_ratio", json!(0.1), "rules.look_back: it is missing beside"),
+        ("/policy_limits/retry_after", json!(true), "policy_limits.max_retry_after: it is missing beside"),
+        ("/report/how", json!("rumour"), "report.how: missing or not known; give"),
+    ] {
+        let error = sheet(&with(place, value)).expect_err(place);
+        assert!(error.starts_with(named), "{error}");
+    }
+    assert!(sheet(&json!([])).is_err());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -192,7 +192,9 @@
             streamer.gone = streamer.gone.or(Some(now)).filter(|_| line.stage == Stage::Gone);
             let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
             streamer.near = !crossing || text(&self.rules.sheet, "zone") == Some(&line.zone);
-            streamer.link.kb = line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0);
+            // A weight that falls with load tells the size by the largest seen. Symptom: busy links look small.
+            let seen = if flag(&self.rules.sheet, "link.weight_is_live") { streamer.link.kb } else { 0.0 };
+            streamer.link.kb = seen.max(line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0));
             streamer.places = self.rules.places(&line.kind);
             if line.started > streamer.started {
                 // A new process holds nothing and is under doubt no more than half.
@@ -598,6 +600,11 @@
         }
     }
 
+    /// When a viewer should come again whom the caller has to turn back by itself.
+    pub fn come_again(&self) -> Option<Span> {
+        self.rules.retry_after()
+    }
+
     /// A streamer's news of its load.
     fn hear(&mut self, now: Point, at: usize, load: Load, age: Span, part: f64) {
         let Some(streamer) = self.streamers.get_mut(at) else { return };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -699,3 +699,20 @@
         assert_eq!(on.results.shots.len(), shots, "{wait} s after the short note");
     }
 }
+
+/// Where a weight falls with load it was taken for the size of the link, and busy links looked small.
+#[test]
+fn a_weight_that_falls_with_load_leaves_the_size() {
+    for (live, shots) in [(true, 1), (false, 0)] {
+        let start = Point::at(100.0);
+        let mut settings = sheet(0, 1, &[]);
+        settings.insert("link.weight_is_live".to_owned(), Value::Flag(live));
+        let mut on = Controller::start(start, 7, &settings);
+        let now = start + seconds(COLD);
+        for weight in [1.0, 0.02] {
+            on.learn(now, &[Line { weight, ..line(0, Stage::Ready, None) }], false);
+        }
+        on.take(now, &Wish { copies: 1, ..wish(1, PAID, "t", 0, now + seconds(9.0)) });
+        assert_eq!(on.results.shots.len(), shots, "live: {live}");
+    }
+}
