The tests of the running program hand over whole settings

One set of settings for the tests on sockets stands with the scripted ends; a new test starts the program with two settings that can't be used and reads file, place and remedy.

--- a/crates/lemontide-cli/tests/program.rs
+++ b/crates/lemontide-cli/tests/program.rs
@@ -95,7 +95,7 @@
 /// and SIGTERM ends it well.
 #[test]
 fn serve_obeys_the_platforms_signals() {
-    use lemontide_standin::platform::{End, Journal};
+    use lemontide_standin::platform::{settings, End, Journal};
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
         let folder = tempfile::tempdir().expect("a folder");
@@ -105,7 +105,7 @@
         let listen = free.local_addr().expect("it is bound");
         drop(free);
         let config = |journal: &Journal| {
-            serde_json::json!({"listen": listen, "seed": "1", "settings": {},
+            serde_json::json!({"listen": listen, "seed": "1", "settings": settings(),
                 "journal": journal.address().expect("it is bound").to_string()})
             .to_string()
         };
@@ -145,3 +145,37 @@
     let said = String::from_utf8_lossy(&out.stderr);
     assert!(!out.status.success() && said.contains("RELAY_CONFIG"), "{said}");
 }
+
+/// A setting that could not be used was left out, and the controller served on a guess.
+#[test]
+fn serve_names_a_setting_that_it_can_not_use() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("config.json");
+    for (place, value, named) in [
+        (
+            "/family_info/rung_kb",
+            serde_json::json!("many"),
+            "config.json: at settings.family_info.rung_kb: no list",
+        ),
+        (
+            "/policy_limits/dial_timeout",
+            serde_json::json!(0),
+            "settings.policy_limits.dial_timeout: missing or not",
+        ),
+    ] {
+        let mut settings = lemontide_standin::platform::settings();
+        *settings.pointer_mut(place).expect("it is there") = value;
+        let config =
+            serde_json::json!({"listen": "127.0.0.1:0", "journal": "127.0.0.1:9", "settings": settings});
+        std::fs::write(&file, config.to_string()).expect("written");
+        let mut serve = std::process::Command::new(env!("CARGO_BIN_EXE_lemontide"));
+        let out = serve
+            .arg("serve")
+            .env("RELAY_CONFIG", &file)
+            .env_remove("RELAY_LISTEN")
+            .output()
+            .expect("it runs");
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && said.contains(named), "{said}");
+    }
+}
--- a/crates/lemontide-standin/src/platform.rs
+++ b/crates/lemontide-standin/src/platform.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use futures::{SinkExt, StreamExt};
 use lemontide_platform::codec::{Body, Codec, Message};
+use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -151,3 +152,21 @@
         last.map(|last| (socket, last)).ok_or_else(|| io::Error::other(format!("not an ask: {ask}")))
     }
 }
+
+/// Settings as the platform hands them out: two lanes, one kind of machine, and no warm-up, in the first half of
+/// which a new controller would hold back.
+pub fn settings() -> serde_json::Value {
+    let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 30, "hard_limit": 60, "effect": effect});
+    json!({
+        "me": 0, "peers_total": 1, "zone": "a", "kinds": ["std"], "membership_mode": "pushed", "weight_source": "nominal",
+        "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
+        "family_info": {"kind_slots": [300], "positions": 1, "lowest_rung": [0, 0], "top_by_class": [1, 1],
+            "class_scale": [1, 1], "class_seats": [0, 0], "live": [false, false], "join": 1, "rung_kb": [100, 200],
+            "worth_by_rung": [0.5, 1], "kb_per_weight": 1e6, "racks": 1, "rack_link_kb": 1e6, "seen_after": 1,
+            "told_every": 3},
+        "policy_limits": {"try_limit": 2, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
+            "streams_per_conn": 32},
+        "report": {"how": "answers", "names": ["x0"]},
+        "rules": {"cold": 0, "cold_from": 1, "fall_multiple": 2, "fall": 1}
+    })
+}
--- a/crates/lemontide-standin/tests/platform.rs
+++ b/crates/lemontide-standin/tests/platform.rs
@@ -5,7 +5,7 @@
 use lemontide_platform::codec::{cause, Body, Figures, SetUp};
 use lemontide_platform::config::Config;
 use lemontide_platform::serve::serve;
-use lemontide_standin::platform::{Attended, End, Journal, SOON};
+use lemontide_standin::platform::{settings, Attended, End, Journal, SOON};
 use serde_json::json;
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
@@ -33,23 +33,11 @@
     listener.set_nonblocking(true).expect("it can wait");
     let at = listener.local_addr().expect("it is bound");
     let known = server("s0", streamer.local_addr().expect("it is bound"), "in_service");
-    let lane = |name: &str, effect: &str| json!({"name": name, "worth": 1, "aim": 30, "hard_limit": 60, "effect": effect});
     let config: Config = serde_json::from_value(json!({
         "listen": at, "seed": "7", "limits": {"sockets": 64},
         "journal": journal.address().expect("it is bound").to_string(),
         "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"full": true, "servers": [known]}}]},
-        "settings": {
-            "me": 0, "peers_total": 1, "zone": "a", "kinds": ["std"],
-            "classes": [lane("free", "read_like"), lane("paid", "non_idempotent")],
-            "family_info": {"kind_slots": [300], "positions": 1, "lowest_rung": [0, 0], "top_by_class": [1, 1],
-                "class_scale": [1, 1], "class_seats": [0, 0], "live": [false, false], "join": 1, "rung_kb": [100, 200], "worth_by_rung": [0.5, 1], "kb_per_weight": 1e6,
-                "racks": 1, "rack_link_kb": 1e6, "seen_after": 1, "told_every": 3},
-            "policy_limits": {"try_limit": 2, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
-                "streams_per_conn": 32},
-            "membership_mode": "pushed", "weight_source": "nominal", "report": {"how": "answers", "names": ["x0"]},
-            // No warm-up here: a new controller would hold back for half of it.
-            "rules": {"cold": 0, "cold_from": 1, "fall_multiple": 2, "fall": 1}
-        }
+        "settings": settings()
     }))
     .expect("the configuration is valid");
     // The controller's loop stays on one thread, its own.
