Keys that cover a wish are used; news is not old before its next note is due

Cause: the module took a keyed lane for a paid one (control.rs `start`), so a wish was scrapped at the first doubt though its key allowed another shot at any streamer; and a link told 15 s ago began to count as the fleet's mean however rarely notes come (`fullness`).

Change: a key for all streamers whose window is no shorter than the lane's cut-off is as good as free, any other stays careful; the fade begins when the next note is overdue, 15 s at the least. Two tests, each seen to fail with its fault put back.

--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -73,6 +73,8 @@
     ("classes", "worth", "lanes", "gain", Figure, Must),
     ("classes", "aim", "lanes", "latency_goal", Figure, Must),
     ("classes", "hard_limit", "lanes", "cut_off", Figure, Must),
+    ("classes", "group", "lanes", "key_holds", Word, May),
+    ("classes", "window", "lanes", "key_window", Figure, May),
     ("tenants", "name", "tenants", "name", Word, Must),
     ("tenants", "quota_per_s", "tenants", "quota_per_s", Figure, May),
 ];
--- a/src/control.rs
+++ b/src/control.rs
@@ -105,7 +105,11 @@
             let mut lane = Lane::unnamed(text(sheet, &format!("lanes.{i}.name"))?, highest);
             lane.gain = of("gain", 1.0);
             lane.goal = Span::of(of("latency_goal", 1.0));
-            lane.paid = text(sheet, &format!("lanes.{i}.repeat")) != Some("free");
+            // A key that holds at every streamer for as long as a viewer waits is as good as free.
+            let word = |what: &str| text(sheet, &format!("lanes.{i}.{what}"));
+            let keyed = (word("repeat"), word("key_holds")) == (Some("keyed"), Some("all"));
+            let covers = keyed && of("key_window", 0.0) >= of("cut_off", f64::INFINITY);
+            lane.paid = word("repeat") != Some("free") && !covers;
             lane.floor = (read(&format!("lane_floor.{i}"), 0.0) as usize).min(highest);
             lane.top = (read(&format!("lane_top.{i}"), 1e6) as usize).min(highest);
             lane.scale = read(&format!("lane_scale.{i}"), 1.0).max(0.01);
@@ -158,10 +162,8 @@
 
     /// A call for the list failed, or it is followed no longer: the old list stays in force for now.
     pub fn list_lost(&mut self, now: Point) {
-        if flag(&self.rules.sheet, "list.on_request") {
-            self.asking.failures += 1;
-            self.ask_again(now, 1.0);
-        }
+        self.asking.failures += 1;
+        self.ask_again(now, 1.0);
     }
 
     /// Takes news of the list: changed lines, or with `whole` all of it, so that who is missing is gone.
@@ -402,9 +404,9 @@
     /// a(i) = min(k, n): free streams, and spare link and uplink in subscriptions at this rung.
     fn capacity(&self, now: Point, place: usize, at: usize, rung: usize) -> f64 {
         let held = &self.held[place];
-        let own = self.streamers[at].own_count;
-        // It lapses, as only own set-ups and their ends bring it. Symptom: once full, never asked again.
         let streamer = &self.streamers[at];
+        let own = streamer.own_count;
+        // It lapses, as only own set-ups and their ends bring it. Symptom: once full, never asked again.
         let told = streamer.streams.filter(|_| (now - streamer.counted).seconds() < STALE / 2.0);
         let (kb, count) = self.takes(place, at, rung);
         let k = streamer.places - told.map_or(own, |told| told.max(own));
@@ -465,12 +467,15 @@
     /// fleet's mean. Symptom: a silent or new link that looks empty draws everything.
     fn fullness(&self, now: Point, at: usize) -> f64 {
         let link = &self.streamers[at].link;
-        let lasts = |told: &Point| self.rules.tells() || now - *told <= self.rules.lapse();
+        let lasts = |told: &Point| (now - *told).seconds() <= STALE / 2.0 || self.rules.tells();
         let Some(told) = link.told.filter(lasts) else {
             let others = 1.0 - 1.0 / self.rules.controllers();
             return self.streamers[at].own_kb / link.kb.max(1e-9) + others * self.fleet.mean_full.min(FILL);
         };
-        let stale = ((now - told).seconds() / STALE - 0.5).clamp(0.0, 1.0);
+        // Nothing is old before the next note is due. Symptom: rare notes, and links that look like the mean.
+        let old = (now - told).seconds() - STALE / 2.0;
+        let due = if old > 0.0 { self.rules.lapse().seconds() - STALE / 2.0 } else { 0.0 };
+        let stale = ((old - due.max(0.0)) / STALE).clamp(0.0, 1.0);
         link.fullness() + stale * (self.fleet.mean_full - link.full).max(0.0)
     }
 
@@ -732,18 +737,13 @@
         let held = &self.held;
         let there = |at: usize| held.iter().any(|(_, s)| s.streamer == at || s.blamed == Some(at));
         let named = self.streamers.len();
-        let gone = |s: &Streamer| s.gone.is_some_and(|since| now - since > after);
-        self.streamers.retain(|at, s| !gone(s) || there(at));
+        self.streamers.retain(|at, s| s.gone.is_none_or(|since| now - since <= after) || there(at));
         if self.streamers.len() < named {
             self.listed += 1;
             self.by_name.retain(|_, at| self.streamers.contains(*at));
         }
-        let titles = self.titles.len();
-        let asked = |t: &Title| now - t.asked <= after;
-        self.titles.retain(|at, t| asked(t) || held.iter().any(|(_, s)| s.title == at));
-        if self.titles.len() < titles {
-            self.by_title.retain(|_, at| self.titles.contains(*at));
-        }
+        self.titles.retain(|at, t| now - t.asked <= after || held.iter().any(|(_, s)| s.title == at));
+        self.by_title.retain(|_, at| self.titles.contains(*at));
     }
 
     /// Streamers and titles of which anything is known.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -716,3 +716,42 @@
         assert_eq!(on.results.shots.len(), shots, "live: {live}");
     }
 }
+
+/// A key that covers every streamer and all of a viewer's time was not used: its wishes were scrapped at the first doubt.
+#[test]
+fn a_keyed_lane_is_set_up_again_only_where_its_key_covers_that() {
+    for (holds, window, again) in [("all", 3.0, true), ("all", 2.0, false), ("zone", 5.0, false)] {
+        let now = Point::at(100.0);
+        let mut settings = sheet(0, 1, &[("lanes.1.key_window", window), ("lanes.1.cut_off", 3.0)]);
+        settings.insert("lanes.1.repeat".to_owned(), Value::Text("keyed".to_owned()));
+        settings.insert("lanes.1.key_holds".to_owned(), Value::Text(holds.to_owned()));
+        let mut on = Controller::start(now, 7, &settings);
+        on.learn(now, &fleet(), true);
+        let held = on.take(now, &wish(1, PAID, "t", 0, now + seconds(3.0)));
+        on.results.clear();
+        held.ended(&mut on, now + seconds(0.4), Ending::TimedOut, false, Load::default());
+        let (shots, scrapped) = (on.results.shots.len(), on.results.scrapped.len());
+        assert_eq!((shots, scrapped), if again { (1, 0) } else { (0, 1) }, "{holds}, {window} s");
+    }
+}
+
+/// Where notes come once a minute, a link counted as the fleet's mean long before its next note was due.
+#[test]
+fn news_is_not_old_before_the_next_note_is_due() {
+    for (every, shots) in [(40.0, 1), (3.0, 0)] {
+        let (mut on, start) = lone(&[("notes.every", every)]);
+        for cell in 0..STREAMERS {
+            let playing = on.inherit(start, &wish(cell as u32, FREE, "u", cell, start), &format!("s{cell}"));
+            let full = if cell == 0 { 0.1 } else { 2.0 };
+            playing.load(&mut on, start + seconds(1.0), Load::link(full));
+            if cell > 0 {
+                playing.load(&mut on, start + seconds(39.0), Load::link(full));
+            }
+        }
+        let now = start + seconds(40.0);
+        on.wake(now);
+        on.results.clear();
+        on.take(now, &Wish { copies: 1, ..wish(9, PAID, "t", 0, now + seconds(9.0)) });
+        assert_eq!(on.results.shots.len(), shots, "a note every {every} s");
+    }
+}
