--- a/src/books.rs
+++ b/src/books.rs
@@ -59,8 +59,8 @@
     pub price: Option<f64>,
 }
 
-/// The streamers that hold a title, for that state of the list and those cells, and the kept one with when it was
-/// chosen.
+/// The streamers that hold a title, for that state of the list and those cells, and the kept one with when it
+/// was chosen.
 #[derive(Default)]
 pub struct Title {
     pub holders: Vec<usize>,
--- a/src/control.rs
+++ b/src/control.rs
@@ -150,7 +150,7 @@
         controller
     }
 
-    /// Sets when the list is asked for: well within the time that the rules give, at a random moment, as hundreds
+    /// Sets when the list is asked for: well within the time that the rules give, at random, as hundreds
     /// ask one service. Symptom: all ask at once, most calls fail, and old lists send set-ups into drains.
     fn ask_again(&mut self, now: Point, spread: f64) {
         let within = span(&self.rules.sheet, "list.ask_within") * ASK_PART;
@@ -194,7 +194,7 @@
             streamer.gone = streamer.gone.or(Some(now)).filter(|_| line.stage == Stage::Gone);
             let crossing = self.rules.number("charges.cross_zone", 0.0) > 0.0;
             streamer.near = !crossing || text(&self.rules.sheet, "zone") == Some(&line.zone);
-            // A weight that falls with load tells the size by the largest seen. Symptom: busy links look small.
+            // Of weights that fall with load the largest is the size. Symptom: busy links look small.
             let seen = if flag(&self.rules.sheet, "link.weight_is_live") { streamer.link.kb } else { 0.0 };
             streamer.link.kb = seen.max(line.weight.max(0.01) * self.rules.number("link.kb_per_weight", 1.0));
             streamer.places = self.rules.places(&line.kind);
@@ -430,8 +430,8 @@
         self.held.iter().take(if shares { usize::MAX } else { 0 }).filter(move |(_, s)| alike(s))
     }
 
-    /// What a subscription takes of a streamer's link and of its places: one that joins a stream adds a part of
-    /// the rate and takes no place. Symptom: a crowd before one live title fills a link that is nearly empty.
+    /// What a subscription takes of a streamer's link and places: one that joins a stream adds a part of the
+    /// rate and takes no place. Symptom: a crowd before one live title fills a link that is nearly empty.
     fn takes(&self, place: usize, at: usize, rung: usize) -> (f64, f64) {
         let rate = self.rate(self.held[place].lane, rung);
         if self.shared(place, at, rung) > 0.0 {
@@ -650,7 +650,7 @@
         }
     }
 
-    /// A stream that own viewers share steps with all who can use the rung. Symptom: one who steps alone opens a
+    /// A stream that own viewers share steps with all who can use the rung. Symptom: who steps alone opens a
     /// second stream, and the link carries more.
     fn step_together(&mut self, now: Point, place: usize, rung: usize) {
         let (before, at) = (self.held[place].rung, self.held[place].streamer);
@@ -730,8 +730,8 @@
         self.forget(now);
     }
 
-    /// Lets go of streamers that left the list and of titles that nobody asks for, once no account holds anything
-    /// of them any more. Symptom: memory that grows with every name that comes and goes.
+    /// Lets go of streamers that left the list and of titles that nobody asks for, once no account holds any
+    /// of them. Symptom: memory that grows with every name that comes and goes.
     fn forget(&mut self, now: Point) {
         let after = span(&self.rules.sheet, "cold.span").max(Span::of(2.0 * STALE));
         let held = &self.held;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -608,7 +608,7 @@
     (on, start + seconds(COLD))
 }
 
-/// Each viewer of a live title was counted at the full rate and a place, and a crowd before it was turned back.
+/// Each viewer of a live title was counted at the full rate and a place, so a crowd before it was turned back.
 #[test]
 fn viewers_of_a_live_title_join_the_stream_that_is_there() {
     let (mut on, now) = live();
@@ -717,7 +717,7 @@
     }
 }
 
-/// A key that covers every streamer and all of a viewer's time was not used: its wishes were scrapped at the first doubt.
+/// A key that covers every streamer and all of a viewer's time was not used: the first doubt scrapped its wish.
 #[test]
 fn a_keyed_lane_is_set_up_again_only_where_its_key_covers_that() {
     for (holds, window, again) in [("all", 3.0, true), ("all", 2.0, false), ("zone", 5.0, false)] {
