--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -54,10 +54,18 @@
     ]
 }
 
-/// The first controller may look at streamers, the second may not.
-fn settings(me: usize, more: &[(&str, f64)]) -> Sheet {
-    let mut sheet = sheet(me, 2, more);
+/// The first controller may look at streamers, the second may not. On a fleet of another shape the free lane is live,
+/// the list comes on request, no notes come, and looks alone tell of links.
+fn settings(me: usize, other_shape: bool, more: &[(&str, f64)]) -> Sheet {
+    let shape = [("ladder.join", 0.2), ("notes.every", 0.0), ("list.ask_within", 5.0)];
+    let shape = if other_shape { &shape[..] } else { &[] };
+    let mut sheet = sheet(me, 2, &[more, shape].concat());
     sheet.insert("looks.allowed".to_owned(), Value::Flag(me == 0));
+    for name in ["lane_live.0", "list.on_request"] {
+        sheet.insert(name.to_owned(), Value::Flag(other_shape));
+    }
+    let told = if other_shape { "looks" } else { "answers" };
+    sheet.insert("links.told".to_owned(), Value::Text(told.to_owned()));
     sheet
 }
 
@@ -101,7 +109,7 @@
 }
 
 impl Model {
-    fn new() -> Model {
+    fn new(other_shape: bool) -> Model {
         let now = Point::at(1000.0);
         let more = [
             ("lane_seats.0", SEATS as f64),
@@ -111,7 +119,7 @@
             ("ration.window", RATION.2),
         ];
         let mut controllers: Vec<_> =
-            (0..2).map(|me| Controller::start(now, me as u64, &settings(me, &more))).collect();
+            (0..2).map(|me| Controller::start(now, me as u64, &settings(me, other_shape, &more))).collect();
         for controller in &mut controllers {
             controller.learn(now, &fleet(), true);
         }
@@ -313,15 +321,18 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 400,
+        cases: 600,
         failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_201),
         ..ProptestConfig::default()
     })]
 
     #[test]
-    fn module_and_model_agree_on_what_is_allowed(steps in prop::collection::vec(step(), 1..120)) {
-        let mut model = Model::new();
+    fn module_and_model_agree_on_what_is_allowed(
+        other_shape in any::<bool>(),
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut model = Model::new(other_shape);
         for step in &steps {
             model.play(step);
         }
