On the platform a wish waits for no look, as no message carries one

Cause: with `may_probe` allowed the module asks for looks (`place`), and the desk took them off the results without a word (desk.rs `carry_out`), so each first shot at a streamer without news came up to three quarters of a second late.

Change: the desk hands the module a sheet without looks. A test, seen to fail with the line taken out.

--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
-use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage, Wish};
+use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage, Value, Wish};
 use lemontide_front::core::{Link, Queued, Verdict};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -170,8 +170,11 @@
 
 impl Desk {
     pub fn start(now: Point, seed: u64, sheet: &Sheet, terms: Terms) -> Desk {
+        // No message here brings what a look would. Guards against wishes that wait for looks that never come back.
+        let mut sheet = sheet.clone();
+        sheet.insert("looks.allowed".to_owned(), Value::Flag(false));
         Desk {
-            module: Controller::start(now, seed, sheet),
+            module: Controller::start(now, seed, &sheet),
             terms,
             known: BTreeMap::new(),
             wires: BTreeMap::new(),
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -24,7 +24,7 @@
         "family_info": {"kind_slots": [3000], "positions": STREAMERS, "lowest_rung": [0, 0], "top_by_class": [2, 2],
             "class_scale": [1, 1], "class_seats": [0, 0], "live": [false, false], "join": 1, "rung_kb": [200, 400, 800], "worth_by_rung": [0.3, 0.6, 1.0],
             "kb_per_weight": 1e7, "rack_link_kb": 1e8, "racks": 1, "seen_after": 1, "told_every": 3},
-        "policy_limits": {"try_limit": 3, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
+        "policy_limits": {"may_probe": false, "try_limit": 3, "retry_after": true, "max_retry_after": 0.5, "dial_timeout": 0.25,
             "streams_per_conn": 32},
         "membership_mode": "pushed", "weight_source": "nominal",
         "report": {"how": "answers", "names": ["busy_reqs", "x0"]},
--- a/crates/lemontide-platform/tests/desk.rs
+++ b/crates/lemontide-platform/tests/desk.rs
@@ -522,3 +522,11 @@
     world.news(entry(0, "terminating"));
     assert_eq!((world.desk.in_hand(), world.said.len()), (21, 21), "nobody is told anything");
 }
+
+/// Where looks are allowed a wish waited three quarters of a second for looks that the platform has no message for.
+#[test]
+fn a_wish_does_not_wait_for_looks() {
+    let mut world = with(&[("/policy_limits/may_probe", json!(true))]);
+    let session = world.ask("free");
+    assert_eq!(world.shots(session), 1, "at once");
+}
