--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -307,6 +307,10 @@
     let now = Point::at(5.0);
     let mut on = Controller::start(now, 1, &Default::default());
     on.learn(now, &fleet(), true);
+    let mut none = Controller::start(now, 1, &sheet(0, 1, &[]));
+    none.learn(now, &[], true);
+    none.take(now, &wish(1, FREE, "t", 0, now + seconds(9.0)));
+    assert_eq!(none.results.turned_back.len(), 1, "an empty list has no holder");
     let handle = on.inherit(now, &wish(1, "no lane", "t", 77, now), "nobody");
     handle.short(&mut on, now, 0.0);
     handle.load(&mut on, now, Load::rack(f64::MAX));
