Connections to streamers are dialled when something needs them, closed when idle

Changed: a link is dialled for a shot, a release, or what plays; it is kept, tested and redialled while something stands or is out at its streamer, and closed from this side after 0.8 of the settings' `conn_idle`, so that no set-up crosses the streamer's own close. A release whose link is down now dials instead of being dropped. What could not be reached while nobody asked proves nothing of what stands there later.

--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -71,6 +71,8 @@
     pub flight: Option<Flight>,
     /// Whether the list still names it; one that is gone is not dialled again.
     pub wanted: bool,
+    /// Since when nothing needs it: such a link is not dialled until something does.
+    pub idle: Option<Point>,
 }
 
 impl<O> Link<O> {
@@ -84,6 +86,7 @@
             queue: VecDeque::new(),
             flight: None,
             wanted: true,
+            idle: None,
         }
     }
 
@@ -200,7 +203,7 @@
     pub fn look(&mut self, now: Point, gap: Span) -> Verdict {
         match &mut self.state {
             State::Down { redial } => {
-                if self.wanted && now >= *redial {
+                if self.wanted && self.idle.is_none() && now >= *redial {
                     return Verdict::Dial;
                 }
             }
@@ -325,6 +328,11 @@
             now = redial;
         }
         assert_eq!(waits, [0.2, 0.4, 0.8, 1.6, 3.2, 4.0, 4.0, 4.0]);
+        link.idle = Some(now);
+        assert_eq!(link.look(at(100.0), Span::ZERO), Verdict::Fine, "nothing needs it");
+        assert!(link.may_dial(at(100.0)), "something to be sent at once may");
+        link.idle = None;
+        assert_eq!(link.look(at(100.0), Span::ZERO), Verdict::Dial);
         link.wanted = false;
         assert_eq!(link.look(at(100.0), Span::ZERO), Verdict::Fine);
         assert!(!link.may_dial(at(100.0)));
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -13,7 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// Kept back of a viewer's time, so that the final answer is there before the viewer goes.
@@ -52,6 +52,8 @@
     pub set_ups_a_link: usize,
     /// Connections to all streamers together.
     pub links_most: usize,
+    /// A connection that nothing needs is closed after so long.
+    pub idle_most: Span,
     /// Subscriptions and wishes in hand at most.
     pub held_most: usize,
 }
@@ -254,9 +256,7 @@
         let Some(known) = self.known.get_mut(&*entry.id) else {
             if entry.stage() != Stage::Gone {
                 let known = Known { entry: entry.clone(), links: Vec::new(), dark: None };
-                let at: Rc<str> = entry.id.as_str().into();
-                self.known.insert(at.clone(), known);
-                self.add_link(now, &at);
+                self.known.insert(entry.id.as_str().into(), known);
             }
             return;
         };
@@ -535,7 +535,7 @@
     }
 
     fn end_at_streamer(&mut self, now: Point, held: &Held) {
-        if let Some(link) = self.best_link(&held.at) {
+        if let Some(link) = self.best_link(&held.at).or_else(|| self.redial(now, &held.at)) {
             let body = Body::release(cause::NORMAL);
             self.order(now, link, Message { session: held.session, body });
         }
@@ -615,6 +615,7 @@
         let kept = known.links.contains(&link);
         let dark = alone.then(|| *known.dark.get_or_insert(now));
         let gone = known.entry.stage() == Stage::Gone;
+        let at_once = |wire: &Wire| wire.link.idle.is_none() && wire.link.may_dial(now);
         for id in broken {
             self.ended(now, id, Ending::Broken, Load::default());
         }
@@ -630,7 +631,7 @@
         }
         if gone {
             self.forget(now, &at);
-        } else if kept && loss == Loss::Broke && self.wires.get(&link).is_some_and(|w| w.link.may_dial(now)) {
+        } else if kept && loss == Loss::Broke && self.wires.get(&link).is_some_and(at_once) {
             self.dial(now, link);
         }
     }
@@ -765,9 +766,30 @@
     }
 
     fn look_after_links(&mut self, now: Point, gap: Span) {
+        // What plays or is out at a streamer needs a link there; a shot and a release dial for themselves.
+        let needs = |held: &&Held| held.playing.is_some() || held.out.is_some();
+        let needed: BTreeSet<Rc<str>> =
+            self.held.values().filter(needs).map(|held| held.at.clone()).collect();
+        for at in &needed {
+            if self.known.get(at).is_some_and(|known| known.links.is_empty()) {
+                self.add_link(now, at);
+            }
+        }
         let links: Vec<u64> = self.wires.keys().copied().collect();
         for link in links {
             let Some(wire) = self.wires.get_mut(&link) else { continue };
+            wire.link.idle = wire.link.idle.or(Some(now)).filter(|_| !needed.contains(&wire.at));
+            if let Some(since) = wire.link.idle {
+                // Kept well short of the other end's own close, which a set-up could cross.
+                if now - since >= self.terms.idle_most {
+                    self.hang(now, link, Loss::Broke);
+                    continue;
+                }
+                // Nobody asks there: what was not reached then proves nothing of what plays there later.
+                if let Some(known) = self.known.get_mut(&wire.at) {
+                    known.dark = None;
+                }
+            }
             let verdict = wire.link.look(now, gap);
             if gap >= LINK_BEAT + LINK_BEAT {
                 // This process stood still itself: what it did not read is no silence.
@@ -990,10 +1012,15 @@
     }
 
     /// Dials a streamer that something is to be sent to at once, whatever wait is left.
-    fn redial(&mut self, now: Point, at: &str) -> Option<u64> {
+    fn redial(&mut self, now: Point, at: &Rc<str>) -> Option<u64> {
         let links = &self.known.get(at)?.links;
+        if links.is_empty() {
+            self.add_link(now, at);
+            return Some(self.next_link);
+        }
         let may = |link: &&u64| self.wires.get(link).is_some_and(|wire| wire.link.may_dial(now));
         let link = *links.iter().find(may)?;
+        self.wires.get_mut(&link)?.link.idle = None;
         self.dial(now, link);
         Some(link)
     }
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -29,6 +29,10 @@
 const OWN_SOCKETS: usize = 24;
 /// Subscriptions and wishes in hand at most. Guards against memory filled by those who only ask.
 const HELD_MOST: usize = 4096;
+/// Seconds after which streamers close an idle connection, where the settings don't say, and the part of that after
+/// which this end does.
+const IDLE: f64 = 15.0;
+const IDLE_PART: f64 = 0.8;
 /// With nothing left in hand, a stopping process goes no sooner than this: new set-ups come for as long.
 const STOP_LEAST: Span = Span::of_millis(1200);
 /// And it never outlasts this: by then the longest cut-off is over.
@@ -54,6 +58,7 @@
         set_ups_a_link: limit("streams_per_conn")?.max(1.0) as usize,
         // Viewers hold a third of the descriptors at most; as many again are for the streamers.
         links_most: sockets / 3,
+        idle_most: Span::of(limit("conn_idle").unwrap_or(IDLE) * IDLE_PART),
         held_most: HELD_MOST,
     })
 }
