--- /dev/null
+++ b/crates/lemontide-fleet/src/view.rs
@@ -0,0 +1,169 @@
+//! Who is in the fleet, how sure that is and how old: one type for settings alone, for what gossip tells, and for what
+//! a test writes down.
+
+use lemontide::clock::{Point, Span};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Instances in a fleet at most: a larger count is a mistake in the settings.
+pub const COUNT_MOST: u32 = 65_536;
+
+/// A setting from which no view can be made: what it is, and the remedy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unusable {
+    /// No instance at all, or more than `COUNT_MOST`.
+    Count(u32),
+    /// The own number is not one of `0..count`.
+    Me { me: u32, count: u32 },
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unusable::Count(count) => {
+                write!(f, "a fleet of {count} instances; give a number from 1 to {COUNT_MOST}")
+            }
+            Unusable::Me { me, count } => {
+                write!(f, "instance number {me} in a fleet of {count}; numbers run from 0 to {}", count - 1)
+            }
+        }
+    }
+}
+
+impl std::error::Error for Unusable {}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Here,
+    Gone { since: Point },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    state: State,
+    heard: Point,
+}
+
+/// One instance's view of the fleet. Numbers run from 0 to a count that the settings give, so that a number means the
+/// same turn and the same place to everybody, whoever is seen. News may be late, doubled, out of order or wrong.
+#[derive(Clone, Debug)]
+pub struct View {
+    me: u32,
+    count: u32,
+    born: Point,
+    /// None where nothing is ever heard: then everybody counts as here.
+    others: Option<BTreeMap<u32, Member>>,
+    /// Another instance was heard under the own number.
+    doubled: bool,
+}
+
+impl View {
+    /// Settings alone: nothing is ever heard, and everybody is taken to be there.
+    pub fn settled(now: Point, me: u32, count: u32) -> Result<View, Unusable> {
+        if count == 0 || count > COUNT_MOST {
+            return Err(Unusable::Count(count));
+        }
+        if me >= count {
+            return Err(Unusable::Me { me, count });
+        }
+        Ok(View { me, count, born: now, others: None, doubled: false })
+    }
+
+    /// The same fleet, of which this instance hears: nobody but itself is there until it is told so.
+    pub fn hearing(now: Point, me: u32, count: u32) -> Result<View, Unusable> {
+        Ok(View { others: Some(BTreeMap::new()), ..View::settled(now, me, count)? })
+    }
+
+    pub fn me(&self) -> u32 {
+        self.me
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Since when this instance runs.
+    pub fn born(&self) -> Point {
+        self.born
+    }
+
+    /// Whether another instance runs under the own number.
+    pub fn doubled(&self) -> bool {
+        self.doubled
+    }
+
+    /// An instance was heard at that moment. What is older than the last word of it changes nothing; a number past the
+    /// count is nobody's.
+    pub fn here(&mut self, at: Point, number: u32) {
+        if number == self.me {
+            self.doubled = true;
+        }
+        self.tell(at, number, State::Here);
+    }
+
+    /// An instance was lost at that moment, or left.
+    pub fn gone(&mut self, at: Point, number: u32) {
+        if number == self.me {
+            self.doubled = false;
+        }
+        self.tell(at, number, State::Gone { since: at });
+    }
+
+    fn tell(&mut self, at: Point, number: u32, state: State) {
+        let Some(others) = &mut self.others else { return };
+        if number >= self.count || number == self.me {
+            return;
+        }
+        match others.get_mut(&number) {
+            Some(known) if at < known.heard => {}
+            Some(known) => {
+                // Gone all along is gone since the first word of it.
+                let same = matches!((known.state, state), (State::Gone { .. }, State::Gone { .. }));
+                known.state = if same { known.state } else { state };
+                known.heard = at;
+            }
+            None => {
+                others.insert(number, Member { state, heard: at });
+            }
+        }
+    }
+
+    /// Whether an instance is there, as far as this view tells; one never heard of is not.
+    pub fn has(&self, number: u32) -> bool {
+        let Some(others) = &self.others else { return number < self.count };
+        let here = |member: &Member| member.state == State::Here;
+        number == self.me || others.get(&number).is_some_and(here)
+    }
+
+    /// Whether an instance was not there for so long, as far as this view tells.
+    pub fn missing_for(&self, now: Point, number: u32, span: Span) -> bool {
+        let Some(others) = &self.others else { return false };
+        match others.get(&number).map(|member| member.state) {
+            _ if number == self.me => false,
+            Some(State::Here) => false,
+            Some(State::Gone { since }) => now - since >= span,
+            // Never heard of since the own start.
+            None => now - self.born >= span,
+        }
+    }
+
+    /// How many are there, this instance included.
+    pub fn present(&self) -> u32 {
+        match &self.others {
+            None => self.count,
+            Some(others) => 1 + others.values().filter(|member| member.state == State::Here).count() as u32,
+        }
+    }
+
+    /// The part of the fleet that was heard of within that span, from 0 to 1; settings alone are sure of nobody else.
+    pub fn sure(&self, now: Point, within: Span) -> f64 {
+        let fresh = |member: &&Member| now - member.heard <= within;
+        let heard = self.others.iter().flatten().filter(|(_, member)| fresh(member)).count();
+        (1 + heard) as f64 / f64::from(self.count)
+    }
+
+    /// Whether more than half of all numbers are there: of two sides that don't see each other, one at most says so.
+    pub fn majority(&self) -> bool {
+        self.present() > self.count / 2
+    }
+}
