The controller's shared events get a file of their own, so that its files import one way

Need: front, http, guard, connections, waiting, gossip and link imported each other in a circle. What passes between the tasks (Said, Asked, Happened, State) moves to events.rs as it stands; the guard is handed what closes idle connections instead of the hall. No change of behaviour; State is now lemontide_front::events::State.

--- a/crates/lemontide-cli/src/measure/rig.rs
+++ b/crates/lemontide-cli/src/measure/rig.rs
@@ -4,7 +4,7 @@
 use axum::routing::{delete, post};
 use axum::{Json, Router};
 use lemontide_front::connections::{accept, Hall, Stack};
-use lemontide_front::front::State;
+use lemontide_front::events::State;
 use lemontide_shed::door::Bounds;
 use lemontide_standin::day::Day;
 use lemontide_standin::run::replace;
--- /dev/null
+++ b/crates/lemontide-front/src/events.rs
@@ -0,0 +1,100 @@
+//! What passes between the sockets' tasks and the deciding thread: wishes, what happens, and the controller in figures.
+
+use crate::core::Refusal;
+use lemontide_shed::door::Counts;
+use lemontide_shed::keeper::View;
+use lemontide_wire::cmcd::Cmcd;
+use lemontide_wire::link::Told;
+use lemontide_wire::list::List;
+use lemontide_wire::play::{Answer, News, Wish};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+
+/// The answer of a wish on its way to the player.
+#[derive(Debug)]
+pub struct Said {
+    pub answer: Answer,
+    pub suggested_kbps: Option<u64>,
+    pub duress: bool,
+}
+
+/// A wish that a player made, read at `asked` seconds.
+pub struct Asked {
+    pub id: u32,
+    pub asked: f64,
+    pub wish: Wish,
+    pub cmcd: Cmcd,
+    pub reply: oneshot::Sender<Result<Said, Refusal>>,
+}
+
+/// What happens to what is in hand, and to the fleet.
+pub enum Happened {
+    Linked {
+        at: usize,
+        dial: u64,
+        started: f64,
+    },
+    Lost {
+        at: usize,
+        dial: u64,
+    },
+    Wrote {
+        at: usize,
+        dial: u64,
+        unsent: Vec<(u32, u32)>,
+    },
+    Told {
+        at: usize,
+        dial: u64,
+        told: Told,
+    },
+    List(List),
+    /// The player of a wish is gone.
+    Left {
+        id: u32,
+    },
+    /// A player ends a subscription; whether there was one.
+    Leave {
+        id: u32,
+        done: oneshot::Sender<bool>,
+    },
+    Listen {
+        id: u32,
+        news: oneshot::Sender<Option<mpsc::Receiver<News>>>,
+    },
+    State(oneshot::Sender<State>),
+    /// Memory is short: caches go, and with `history` spare room, too.
+    Relieve {
+        history: bool,
+    },
+    /// What others are believed to know of streamers, by name and weight.
+    Doubts(Vec<(String, f64)>),
+}
+
+/// The controller in figures.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    pub taken: u64,
+    pub plays: u64,
+    pub turned_back: u64,
+    pub scrapped: u64,
+    pub in_hand: usize,
+    pub playing: usize,
+    pub streamers: usize,
+    pub links_up: usize,
+    pub stopping: bool,
+    /// Wishes turned away near the controller's own limit, and the level of load: 0 is free, 1 at the limit.
+    pub shed: u64,
+    pub level: f64,
+    /// Those of them that were turned back at the doorway, before the HTTP stack.
+    pub shed_at_the_door: u64,
+    /// Wishes that waited until it was too late.
+    pub late: u64,
+    pub connections: Counts,
+    /// Where shedding is on: the gauges, and what became of each lane's wishes.
+    pub shedding: Option<View>,
+    /// Set-ups under way to each streamer, and how many may be.
+    pub flights: Vec<(String, usize, usize)>,
+    /// Seconds of CPU that the deciding thread spent in the driver and the module.
+    pub deciding_s: f64,
+}
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -3,6 +3,7 @@
 
 use crate::connections::Hall;
 use crate::core::{seconds, Driver, Effect, Queued, Refusal};
+use crate::events::{Asked, Happened, Said, State};
 use crate::gossip::{self, Heard};
 use crate::guard::Guard;
 use crate::http;
@@ -11,16 +12,11 @@
 use crate::settings::Settings;
 use crate::waiting::Waiting;
 use lemontide::clock::Point;
-use lemontide_shed::door::Counts;
-use lemontide_shed::keeper::View;
+use lemontide_shed::relief;
 use lemontide_shed::room::{Order, Turn};
 use lemontide_wire::clock::Clock;
-use lemontide_wire::cmcd::Cmcd;
-use lemontide_wire::link::Told;
-use lemontide_wire::list::List;
-use lemontide_wire::play::{Answer, News, Wish};
+use lemontide_wire::play::News;
 use lemontide_wire::tap::{Tap, What};
-use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -39,95 +35,6 @@
 /// Lines of news that wait for a listener before it is cut off.
 const NEWS_MOST: usize = 64;
 
-/// The answer of a wish on its way to the player.
-#[derive(Debug)]
-pub struct Said {
-    pub answer: Answer,
-    pub suggested_kbps: Option<u64>,
-    pub duress: bool,
-}
-
-/// A wish that a player made, read at `asked` seconds.
-pub struct Asked {
-    pub id: u32,
-    pub asked: f64,
-    pub wish: Wish,
-    pub cmcd: Cmcd,
-    pub reply: oneshot::Sender<Result<Said, Refusal>>,
-}
-
-/// What happens to what is in hand, and to the fleet.
-pub enum Happened {
-    Linked {
-        at: usize,
-        dial: u64,
-        started: f64,
-    },
-    Lost {
-        at: usize,
-        dial: u64,
-    },
-    Wrote {
-        at: usize,
-        dial: u64,
-        unsent: Vec<(u32, u32)>,
-    },
-    Told {
-        at: usize,
-        dial: u64,
-        told: Told,
-    },
-    List(List),
-    /// The player of a wish is gone.
-    Left {
-        id: u32,
-    },
-    /// A player ends a subscription; whether there was one.
-    Leave {
-        id: u32,
-        done: oneshot::Sender<bool>,
-    },
-    Listen {
-        id: u32,
-        news: oneshot::Sender<Option<mpsc::Receiver<News>>>,
-    },
-    State(oneshot::Sender<State>),
-    /// Memory is short: caches go, and with `history` spare room, too.
-    Relieve {
-        history: bool,
-    },
-    /// What others are believed to know of streamers, by name and weight.
-    Doubts(Vec<(String, f64)>),
-}
-
-/// The controller in figures.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct State {
-    pub taken: u64,
-    pub plays: u64,
-    pub turned_back: u64,
-    pub scrapped: u64,
-    pub in_hand: usize,
-    pub playing: usize,
-    pub streamers: usize,
-    pub links_up: usize,
-    pub stopping: bool,
-    /// Wishes turned away near the controller's own limit, and the level of load: 0 is free, 1 at the limit.
-    pub shed: u64,
-    pub level: f64,
-    /// Those of them that were turned back at the doorway, before the HTTP stack.
-    pub shed_at_the_door: u64,
-    /// Wishes that waited until it was too late.
-    pub late: u64,
-    pub connections: Counts,
-    /// Where shedding is on: the gauges, and what became of each lane's wishes.
-    pub shedding: Option<View>,
-    /// Set-ups under way to each streamer, and how many may be.
-    pub flights: Vec<(String, usize, usize)>,
-    /// Seconds of CPU that the deciding thread spent in the driver and the module.
-    pub deciding_s: f64,
-}
-
 /// A running controller.
 pub struct Front {
     /// Where it serves players.
@@ -183,7 +90,9 @@
             None => (None, None),
         };
         if let Some(guard) = &guard {
-            tokio::spawn(guard.clone().keep(room.clone(), hall.clone(), reports.clone()));
+            let hall = hall.clone();
+            let close_idle = move || hall.close_idle(relief::IDLE, relief::CLOSED_AT_ONCE);
+            tokio::spawn(guard.clone().keep(room.clone(), close_idle, reports.clone()));
         }
         let before = http::Before { clock, room: room.clone(), guard: guard.clone(), hall };
         http::serve(listener, &settings, before, reports, stopped.clone(), asked_of_gossip);
--- a/crates/lemontide-front/src/gossip.rs
+++ b/crates/lemontide-front/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Carries gossip's datagrams over UDP between this controller and others. What is said and believed is decided
 //! in `lemontide-gossip`; what to make of it, in the decision module.
 
-use crate::front::Happened;
+use crate::events::Happened;
 use crate::settings::{read_json, Gossip};
 use lemontide::clock::Point;
 use lemontide_gossip::keys::{Networks, Own, Ring};
--- a/crates/lemontide-front/src/guard.rs
+++ b/crates/lemontide-front/src/guard.rs
@@ -1,15 +1,14 @@
 //! Measures this process for the shedding core and asks it about each new wish. Figures come from `/proc`, from the
 //! sockets' loop and from the deciding thread; what they mean is decided in `lemontide-shed`.
 
-use crate::connections::Hall;
-use crate::front::Happened;
+use crate::events::Happened;
 use crate::settings::Settings;
 use crate::waiting::Waiting;
 use lemontide::clock::{Point, Span};
 use lemontide_shed::admit::{Lane, Word};
 use lemontide_shed::keeper::{Asked, Keeper, Terms, View};
 use lemontide_shed::level::What;
-use lemontide_shed::relief::{self, Stage};
+use lemontide_shed::relief::Stage;
 use lemontide_wire::clock::Clock;
 use lemontide_wire::hint::Hint;
 use lemontide_wire::play::Wish;
@@ -157,11 +156,11 @@
         self.keeper().shed()
     }
 
-    /// Reads the gauges and does what memory asks for, until the deciding thread is gone.
+    /// Reads the gauges and does what memory asks for, by `close_idle` and by a report, until the deciding thread is gone.
     pub async fn keep(
         self: Arc<Self>,
         waiting: Arc<Waiting>,
-        hall: Arc<Hall>,
+        close_idle: impl Fn() + Send + 'static,
         reports: mpsc::Sender<Happened>,
     ) {
         let (mut late, mut beats) = (Duration::ZERO, 0);
@@ -225,7 +224,7 @@
             };
             waiting.rank(&ranks, &shares);
             if stage >= Stage::Caches {
-                hall.close_idle(relief::IDLE, relief::CLOSED_AT_ONCE);
+                close_idle();
             }
             if stage > before && stage >= Stage::Caches {
                 tracing::warn!(target: "shedding", ?stage, "memory is short");
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::{accept, Hall, LetIn, Stack};
 use crate::core::Refusal;
-use crate::front::{Asked, Happened, Said, State as Figures};
+use crate::events::{Asked, Happened, Said, State as Figures};
 use crate::guard::Guard;
 use crate::settings::Settings;
 use crate::waiting::Waiting as Room;
--- a/crates/lemontide-front/src/link.rs
+++ b/crates/lemontide-front/src/link.rs
@@ -2,7 +2,7 @@
 //! Nothing is decided here; every report carries the number of the dial that it belongs to.
 
 use crate::core::Queued;
-use crate::front::Happened;
+use crate::events::Happened;
 use futures::{SinkExt, StreamExt};
 use lemontide::clock::Point;
 use lemontide_wire::clock::Clock;
--- a/crates/lemontide-front/src/waiting.rs
+++ b/crates/lemontide-front/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Where wishes wait between the sockets and the deciding thread: the room of `lemontide-shed`, shared.
 
-use crate::front::Asked;
+use crate::events::Asked;
 use lemontide::clock::Point;
 use lemontide_shed::room::{Entered, Order, Room, Turn};
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/lemontide-standin/tests/shedding.rs
+++ b/crates/lemontide-standin/tests/shedding.rs
@@ -1,6 +1,7 @@
 //! Limits of the controller over real sockets: the doorway, bounds of connections, slow and stuck players.
 
-use lemontide_front::front::{Front, State};
+use lemontide_front::events::State;
+use lemontide_front::front::Front;
 use lemontide_front::settings::Settings;
 use lemontide_wire::list::List;
 use serde_json::json;
