--- a/crates/lemontide-cli/src/measure/fleet.rs
+++ b/crates/lemontide-cli/src/measure/fleet.rs
@@ -93,7 +93,7 @@
         "asked": came.asked, "plays": came.plays, "turned_back": came.turned_back, "gain": came.gain,
         "stood": came.stood, "stood_most": came.stood_most, "opened_a_s": came.opened as f64 / plan.seconds,
         "busiest": came.busiest, "over_budget": came.over_budget, "to_cold": came.to_cold,
-        "stood_for": came.stood_for, "two_heirs": came.two_heirs, "agreed_s": came.agreed_s, "us_a_set_up": us,
+        "stood_for": came.stood_for, "two_heirs": came.two_heirs, "agreed_s": came.agreed_s, "agreed_all_s": came.agreed_all_s, "us_a_set_up": us,
     })
 }
 
--- a/crates/lemontide-front/src/core/driver.rs
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -137,6 +137,8 @@
     terms: Terms,
     known: Vec<Known>,
     by_name: HashMap<String, usize>,
+    /// Counts the lists taken in.
+    listed: u64,
     /// Ordered, so that the same events give the same effects.
     held: BTreeMap<u32, Held>,
     due: BinaryHeap<Reverse<(Point, u32, u32)>>,
@@ -161,6 +163,7 @@
             terms,
             known: Vec::new(),
             by_name: HashMap::new(),
+            listed: 0,
             held: BTreeMap::new(),
             due: BinaryHeap::new(),
             wake: None,
@@ -201,6 +204,7 @@
     /// Takes the list, whole: who is missing is gone. What waits for a streamer that drains or is gone is taken
     /// back at once and placed anew.
     pub fn learn(&mut self, now: Point, list: &List) {
+        self.listed += 1;
         let mut gone: Vec<bool> = vec![true; self.known.len()];
         for entry in &list.streamers {
             let at = self.by_name.get(&entry.streamer).copied().unwrap_or(self.known.len());
@@ -431,7 +435,7 @@
     fn share_out(&mut self, now: Point) {
         let Some(together) = &mut self.together else { return };
         let (titles, entries) = (self.terms.titles.values().copied(), self.known.iter().map(|k| &k.entry));
-        for (at, first) in together.choose(now, titles, self.terms.cells, entries) {
+        for (at, first) in together.choose(now, self.listed, titles, self.terms.cells, entries) {
             if let Some(known) = self.known.get(at as usize) {
                 self.module.favour(&known.entry.streamer, first);
             }
--- a/crates/lemontide-front/src/core/together.rs
+++ b/crates/lemontide-front/src/core/together.rs
@@ -14,6 +14,8 @@
 /// The subset is chosen anew this often at most, and an ending that speaks against a streamer makes room for so long.
 const CHOOSE_EVERY: Span = Span::of_millis(500);
 const SPENT: Span = Span::of_millis(2000);
+/// Idle links to streamers that go first are kept so many times longer.
+const KEPT: f64 = 4.0;
 
 /// What the settings say of it.
 #[derive(Clone, Debug)]
@@ -62,7 +64,9 @@
     view: View,
     subset: Subset,
     stood: Vec<u32>,
-    chosen: Option<Point>,
+    /// When the subset was looked at last, and what it was chosen by: the list's state, the width, who is spent.
+    looked: Option<Point>,
+    chosen: Option<(u64, usize, Vec<u32>)>,
     /// Streamers that sent back or failed of late, by place, and until when they make room.
     spent: BTreeMap<u32, Point>,
 }
@@ -86,6 +90,7 @@
             view,
             subset,
             stood: Vec::new(),
+            looked: None,
             chosen: None,
             spent: BTreeMap::new(),
         })
@@ -123,20 +128,27 @@
         self.spent.insert(at as u32, now + SPENT);
     }
 
-    /// Streamers that enter or leave the part that is used first, by place in the list, at most every half second.
+    /// Streamers that enter or leave the part that is used first, by place in the list, at most every half second;
+    /// `listed` counts the changes of the list.
     pub fn choose<'a>(
         &mut self,
         now: Point,
+        listed: u64,
         titles: impl Iterator<Item = Place>,
         cells: usize,
         entries: impl Iterator<Item = &'a Entry>,
     ) -> Vec<(u32, bool)> {
-        if !self.terms.subset || self.chosen.is_some_and(|at| now - at < CHOOSE_EVERY) {
+        if !self.terms.subset || self.looked.is_some_and(|at| now - at < CHOOSE_EVERY) {
             return Vec::new();
         }
-        self.chosen = Some(now);
+        self.looked = Some(now);
         self.subset.adapt(now, self.terms.mean);
         self.spent.retain(|_, until| *until > now);
+        let by = (listed, self.subset.width(), self.spent.keys().copied().collect());
+        if self.chosen.as_ref() == Some(&by) {
+            return Vec::new();
+        }
+        self.chosen = Some(by);
         let mut by_cell: BTreeMap<usize, Vec<(u32, Holder)>> = BTreeMap::new();
         for (at, entry) in entries.enumerate().filter(|(_, entry)| entry.stage != Stage::Gone) {
             let holder = Holder {
@@ -157,7 +169,8 @@
 
     /// Whether an idle link to a streamer may be closed.
     pub fn may_close(&self, at: usize, idle: Span) -> bool {
-        idle >= self.terms.idle && !self.subset.has(at as u32)
+        let kept = if self.subset.has(at as u32) { KEPT } else { 1.0 };
+        idle >= self.terms.idle * kept
     }
 
     pub fn figures(&self, now: Point) -> InFleet {
--- a/crates/lemontide-gossip/src/node.rs
+++ b/crates/lemontide-gossip/src/node.rs
@@ -199,14 +199,17 @@
     }
 
     /// The numbers that other members hold, as far as this one knows: whether a member of that number lives and, if none
-    /// does, since when. Of two under one number the living one counts.
+    /// does, since when. Of two under one number the living one counts. Who is suspected counts as gone since then, as to
+    /// bury many takes one own probe each: half of 300 lost at once would count as there for minutes.
     pub fn numbers(&self) -> BTreeMap<u32, Option<Point>> {
         let mut numbers: BTreeMap<u32, Option<Point>> = BTreeMap::new();
         for (_, peer) in self.members.peers() {
             let Some(number) = peer.record.number else { continue };
             let gone = match peer.status {
-                Status::Dead { since } | Status::Left { since } => Some(since),
-                Status::Alive | Status::Suspect { .. } => None,
+                Status::Suspect { since, .. } | Status::Dead { since } | Status::Left { since } => {
+                    Some(since)
+                }
+                Status::Alive => None,
             };
             // None, for one that lives, is the least of all; of the gone the last counts.
             let known = numbers.entry(number).or_insert(gone);
--- a/crates/lemontide-standin/src/swarm.rs
+++ b/crates/lemontide-standin/src/swarm.rs
@@ -69,8 +69,10 @@
     /// Turns of missing controllers: looks at which somebody stood for one, and at which two stood for the same.
     pub stood_for: u64,
     pub two_heirs: u64,
-    /// Seconds until every controller's view told the truth after the deaths and after the returns.
+    /// Seconds until 99 in 100 of what all controllers think of each other was true, after the deaths and after the
+    /// returns; and until all of it was.
     pub agreed_s: Vec<f64>,
+    pub agreed_all_s: Vec<f64>,
     /// Seconds of CPU in drivers and modules.
     pub spent: Duration,
 }
@@ -406,22 +408,27 @@
         }
     }
 
-    /// Whether every running controller counts as there who runs, and nobody else.
-    fn agree(&mut self) -> bool {
+    /// The part of what running controllers think of each other that is true: who runs counts as there, and nobody else.
+    fn agreement(&mut self) -> f64 {
         let up: Vec<bool> = self.instances.iter().map(Option::is_some).collect();
-        let Some(town) = &mut self.town else { return true };
-        (0..up.len()).filter(|me| up[*me]).all(|me| {
+        let Some(town) = &mut self.town else { return 1.0 };
+        let (mut right, mut all) = (0, 0);
+        for me in (0..up.len()).filter(|me| up[*me]) {
             let numbers = town.with(me, |node, _| node.numbers());
             let lives = |other: usize| matches!(numbers.get(&(other as u32)), Some(None));
-            (0..up.len()).filter(|other| *other != me).all(|other| lives(other) == up[other])
-        })
+            for other in (0..up.len()).filter(|other| *other != me) {
+                all += 1;
+                right += u32::from(lives(other) == up[other]);
+            }
+        }
+        f64::from(right) / f64::from(all.max(1))
     }
 
     /// Plays it to the end.
     pub fn run(mut self) -> Came {
         let steps = (self.plan.seconds / STEP) as usize;
         let hand_over = (HAND_OVER / STEP) as usize;
-        let (mut waits, mut samples): (Option<f64>, Vec<usize>) = (None, Vec::new());
+        let (mut waits, mut samples): (Option<(f64, bool)>, Vec<usize>) = (None, Vec::new());
         // A tenth of the streamers restart one after the other; half of the controllers die at once and come back.
         let (restarts_at, dies_at, returns_at) = (0.2, 0.3, 0.75);
         let moment = |part: f64| (part * steps as f64) as usize;
@@ -444,7 +451,7 @@
                 }
                 if step == moment(dies_at) {
                     dying.iter().for_each(|me| self.kill(*me));
-                    waits = Some(self.now);
+                    waits = Some((self.now, false));
                 }
                 if step == moment(returns_at) {
                     for me in &dying {
@@ -453,7 +460,7 @@
                         }
                         self.start(*me, self.now);
                     }
-                    waits = Some(self.now);
+                    waits = Some((self.now, false));
                 }
             }
             let due: Vec<usize> =
@@ -472,9 +479,14 @@
             self.deliver();
             if step.is_multiple_of(hand_over) {
                 self.hand_over();
-                if let Some(since) = waits.filter(|_| self.town.is_some()) {
-                    if self.agree() {
-                        self.came.agreed_s.push(self.now - since);
+                if let Some((since, mostly)) = waits.filter(|_| self.town.is_some()) {
+                    let (agreement, took) = (self.agreement(), self.now - since);
+                    if agreement >= 0.99 && !mostly {
+                        self.came.agreed_s.push(took);
+                        waits = Some((since, true));
+                    }
+                    if agreement >= 1.0 {
+                        self.came.agreed_all_s.push(took);
                         waits = None;
                     }
                 }
