--- a/src/books.rs
+++ b/src/books.rs
@@ -1,7 +1,7 @@
 //! The records that a controller keeps: plain bookkeeping, every judgement of it is in `control.rs`.
 
 use crate::clock::{Point, Span};
-use crate::interface::{number, text, Sheet};
+use crate::interface::{number, span, text, Sheet};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -142,6 +142,12 @@
     pub turn: (i64, u32),
 }
 
+impl Streamer {
+    pub fn is_cold(&self, rules: &HouseRules, now: Point) -> bool {
+        self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span"))
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum State {
     Waiting,
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,8 @@
 const OWN_PART: f64 = 0.7;
 /// Looks at holders without news before a first shot.
 const LOOKS: u32 = 3;
+/// Part of its even share of the fleet up to which a young controller catches up.
+const CAUGHT_UP: f64 = 0.6;
 /// Seconds over which a tenant's rate of wishes is counted.
 const TENANT_SPAN: f64 = 16.0;
 /// Wishes that prove little about a tenant.
@@ -560,7 +562,11 @@
         let age = span(&self.rules.sheet, "notes.age") + span(&self.rules.sheet, "notes.every") * 0.5;
         self.fleet.past += (own - self.fleet.past) * (BEAT.seconds() / age.seconds().max(1e-9)).min(1.0);
         let (many, others) = (self.held.len() as f64, 1.0 - 1.0 / self.rules.controllers());
-        let grown = (own / self.fleet.past.max(1e-9)).clamp(0.5, 2.0).powf(others * many / (many + PROOF));
+        // A young one catches up: below most of its even part growth is its own. Symptom: all seems to grow.
+        let even = trust * asked / weight * links / self.rules.controllers() * CAUGHT_UP;
+        let young = now - self.rules.born < span(&self.rules.sheet, "cold.span");
+        let past = if young { self.fleet.past.max(own.min(even)) } else { self.fleet.past };
+        let grown = (own / past.max(1e-9)).clamp(0.5, 2.0).powf(others * many / (many + PROOF));
         self.fleet.growth = (grown - 1.0).max(0.0);
         let (tight, asked) = (tight * grown, asked * grown);
         let full = trust * tight / weight + (1.0 - trust) * guess;
@@ -957,17 +963,13 @@
         (self.odds - FADE * (now - self.odds_at).seconds()).max(0.0)
     }
 
-    fn is_cold(&self, rules: &HouseRules, now: Point) -> bool {
-        self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span"))
-    }
-
     /// Controllers take turns at a cold streamer by number. A turn is two windows long and only its first
     /// half may send, so that every window meets one turn at most; a whole turn holds less than the budget
     /// of the streamer at its coldest. Symptom: all controllers at once pour into a streamer that came back.
     fn my_turn(&self, rules: &HouseRules, now: Point) -> bool {
-        let cold = self.is_cold(rules, now);
         // A controller that came back itself has an old list: to it every streamer may be cold for a while.
         let young = now - rules.born < span(&rules.sheet, "cold.span") * 0.5;
+        let cold = self.is_cold(rules, now);
         if !cold && !young {
             return true;
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -144,6 +144,38 @@
     assert!(room(true) < room(false), "{:?} in a burst, {:?} else", room(true), room(false));
 }
 
+/// One that had just come back took its own return for the fleet's growth, and started below what a steady fleet bears.
+#[test]
+fn a_young_controller_that_catches_up_takes_a_steady_fleet_for_steady() {
+    let rung = |warm_up: f64, from: usize| {
+        let mut now = Point::at(100.0);
+        let mut on = Controller::start(
+            now,
+            7,
+            &sheet(0, 4, &[("cold.span", warm_up), ("link.kb_per_weight", 30_000.0)]),
+        );
+        on.learn(now, &fleet(), true);
+        let mut playing = Vec::new();
+        for beat in 0..60 {
+            for id in playing.len()..if beat < 56 { from } else { 20 } {
+                let handle =
+                    on.inherit(now, &wish(id as u32, FREE, "t", 0, now), &format!("s{}", id % STREAMERS));
+                handle.at_rung(&mut on, now, 1);
+                playing.push(handle);
+            }
+            playing.iter().for_each(|handle| handle.load(&mut on, now, Load::link(0.8)));
+            now = now + seconds(0.25);
+            on.wake(now);
+        }
+        on.results.clear();
+        on.take(now, &Wish { copies: 1, ..wish(99, FREE, "new", 0, now + seconds(9.0)) });
+        on.results.rungs.first().map(|(_, rung)| *rung)
+    };
+    // All are older than a warm-up of 5 s, none than one of 30 s.
+    assert!(rung(5.0, 10) < rung(5.0, 20), "{:?} for an old one that grows", rung(5.0, 10));
+    assert_eq!(rung(30.0, 10), rung(30.0, 20), "for a young one");
+}
+
 /// A streamer that sent a shot back as full got the next one too, as its report was taken for noise.
 #[test]
 fn a_shot_sent_back_tells_that_the_link_is_full() {
