A stopping controller on the platform lets its last answer leave before it ends

Read through serve.rs for ways in which an answer decided is not written: after SIGTERM the loop hands the last answer to the task that writes it and, with nothing in hand any more, ends the process in the same turn (serve.rs, the break before the select); the task never runs. Shown on the process with a scripted streamer: a paid wish whose streamer says error 1.6 s after SIGTERM gets no answer, each time; the test fails without the mend.

Change: what was said last gets 0.3 s to leave.

--- a/crates/lemontide-cli/tests/program.rs
+++ b/crates/lemontide-cli/tests/program.rs
@@ -179,3 +179,55 @@
         assert!(!out.status.success() && said.contains(named), "{said}");
     }
 }
+
+/// The last answer of a stopping process was handed to the task that writes it, and the process ended before it had: the
+/// viewer never got its final answer.
+#[test]
+fn the_last_answer_before_a_stop_reaches_its_viewer() {
+    use lemontide_platform::codec::{cause, Body, Figures, SetUp};
+    use lemontide_standin::platform::{settings, End, Journal};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("config.json");
+        let streamer = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let journal = Journal::start().await.expect("a port");
+        let free = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let listen = free.local_addr().expect("it is bound");
+        drop(free);
+        let known = serde_json::json!({"id": "s0", "addr": streamer.local_addr().expect("bound").to_string(),
+            "zone": "a", "kind": "std", "cell": 0, "state": "in_service", "weight": 1, "started_ms": 0});
+        let config = serde_json::json!({"listen": listen, "seed": "1", "settings": settings(),
+            "journal": journal.address().expect("it is bound").to_string(),
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"full": true, "servers": [known]}}]}});
+        std::fs::write(&file, config.to_string()).expect("written");
+        let mut serve = tokio::process::Command::new(env!("CARGO_BIN_EXE_lemontide"))
+            .arg("serve")
+            .env("RELAY_CONFIG", &file)
+            .env("RELAY_LISTEN", listen.to_string())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("it starts");
+        let pid = nix::unistd::Pid::from_raw(serve.id().expect("it runs") as i32);
+        let mut viewer = End::viewer(listen).await.expect("it serves");
+        let set_up = SetUp {
+            lane: "paid".into(),
+            tenant: "acme".into(),
+            title: "t".into(),
+            wait_ms: 60_000,
+            figures: Some(Figures { home: 0, copies: 1, top: 1, again: false, at: None }),
+            ..SetUp::default()
+        };
+        viewer.say(7, Body::SetUp(set_up)).await.expect("sent");
+        let mut link = End::streamer(&streamer).await.expect("it dials").attend();
+        assert_eq!(link.news().await.expect("shot").session, 7);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("sent");
+        // Past the time for which a stopping process waits with nothing in hand: this wish alone keeps it.
+        tokio::time::sleep(std::time::Duration::from_millis(1600)).await;
+        link.say(7, Body::release(cause::ERROR)).await.expect("sent");
+        let answer = viewer.hear().await.expect("the final answer, before the end");
+        assert_eq!(answer.body, Body::release(cause::BROKEN), "paid, and it may have run");
+        let ended = tokio::time::timeout(lemontide_standin::platform::SOON, serve.wait()).await;
+        assert!(ended.expect("within the bound").expect("waited for").success());
+    });
+}
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -35,6 +35,9 @@
 const IDLE_PART: f64 = 0.8;
 /// With nothing left in hand, a stopping process goes no sooner than this: new set-ups come for as long.
 const STOP_LEAST: Span = Span::of_millis(1200);
+/// What was said last gets so long to leave. Symptom: the last answer of a stopping process is lost, as the task that
+/// writes it ends with the process.
+const LAST_WORDS: Span = Span::of_millis(300);
 /// And it never outlasts this: by then the longest cut-off is over.
 const STOP_MOST: Span = Span::of_millis(8000);
 
@@ -186,11 +189,15 @@
     tracing::info!(listen = %config.listen, streamers = desk.streamers(), "serves");
     let mut next_conn = 0;
     let mut stops: Option<Point> = None;
+    // Since when nothing is in hand.
+    let mut empty: Option<Point> = None;
     loop {
         sockets.carry_out(now(), &mut desk);
+        empty = (desk.in_hand() == 0).then(|| empty.unwrap_or(now()));
         if let Some(since) = stops {
             let gone = now() - since;
-            if gone >= STOP_MOST || gone >= STOP_LEAST && desk.in_hand() == 0 {
+            let said = empty.is_some_and(|since| now() - since >= LAST_WORDS);
+            if gone >= STOP_MOST || gone >= STOP_LEAST && said {
                 break;
             }
         }
