--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -16,7 +16,6 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
-use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
 /// Reports that wait for the loop; a connection whose report finds no room is not read on until it does.
@@ -95,14 +94,12 @@
 }
 
 impl Sockets {
-    /// Does what the desk left to be done; whether a viewer was told something.
-    fn carry_out(&mut self, now: Point, desk: &mut Desk) -> bool {
-        let mut told = false;
+    /// Does what the desk left to be done.
+    fn carry_out(&mut self, now: Point, desk: &mut Desk) {
         while !desk.effects.is_empty() {
             for effect in std::mem::take(&mut desk.effects) {
                 match effect {
                     Effect::Say { conn, message } => {
-                        told = true;
                         let say = self.viewers.get(&conn);
                         if say.is_some_and(|say| say.try_send(message).is_err()) {
                             // It does not read what is said to it.
@@ -131,7 +128,6 @@
                 }
             }
         }
-        told
     }
 
     fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
@@ -211,11 +207,6 @@
             Some(report) = streamers_said.recv() => {
                 sockets.of_streamer(now(), &mut desk, report);
                 for _ in 0..ROUND {
-                    // What a viewer is told leaves before the next word is looked at. Symptom: an answer waits behind
-                    // a whole round of notes, and its viewer may be gone meanwhile.
-                    if sockets.carry_out(now(), &mut desk) {
-                        yield_now().await;
-                    }
                     let Ok(report) = streamers_said.try_recv() else { break };
                     sockets.of_streamer(now(), &mut desk, report);
                 }
