--- /dev/null
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -0,0 +1,217 @@
+//! The desk's part of attempts: each is sent, ends once, and the module is told the truth of it.
+
+use super::*;
+
+/// A connection on which a set-up got no answer must pass a test within this time, or it is of no more use.
+const TEST_WAIT: Span = Span::of_millis(400);
+
+impl Desk {
+    /// Takes a shot back, from the queue or from the streamer; what is then to be told of it.
+    pub(super) fn give_up_shot(&mut self, now: Point, id: u32, session: u64, out: &Out) -> Ending {
+        if let Some(wire) = self.wires.get_mut(&out.link) {
+            wire.open = wire.open.saturating_sub(1);
+            if out.handed.is_none() {
+                wire.link.withdraw((id, out.number));
+                return Ending::NotSent;
+            }
+        }
+        self.order(now, out.link, Message { session, body: Body::release(cause::NORMAL) });
+        Ending::Cancelled
+    }
+
+    pub(super) fn remove(&mut self, id: u32) -> Option<Held> {
+        let held = self.held.remove(&id)?;
+        self.by_session.remove(&held.session);
+        if held.playing.is_none() {
+            if let Some(conn) = self.conns.get_mut(&held.conn) {
+                conn.open = conn.open.saturating_sub(1);
+            }
+        }
+        Some(held)
+    }
+
+    pub(super) fn plays(&mut self, now: Point, id: u32, description: Bytes, load: Load) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Some(wire) = held.out.take().and_then(|out| self.wires.get_mut(&out.link)) {
+            wire.open = wire.open.saturating_sub(1);
+        }
+        held.playing = Some(now);
+        held.set_up.description = Bytes::new();
+        let (handle, conn, session) = (held.handle, held.conn, held.session);
+        tracing::debug!(target: "decision", session = format!("{session:016x}"), streamer = &*held.at, answered = true);
+        handle.plays(&mut self.module, now);
+        if load.link.is_some() || load.rack.is_some() {
+            handle.load(&mut self.module, now, load);
+        }
+        self.say(conn, session, Body::Answer { description, load: Load::default() });
+        if let Some(from) = self.conns.get_mut(&conn) {
+            from.open = from.open.saturating_sub(1);
+            from.good = true;
+        }
+        for (until, message) in std::mem::take(&mut self.owed) {
+            if now <= until {
+                self.effects.push(Effect::Say { conn, message });
+            }
+        }
+    }
+
+    /// A shot's moment came: it was not written in time, or not answered in time.
+    pub(super) fn overdue(&mut self, now: Point, id: u32, shot: u32) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(out) = held.out.take_if(|out| out.number == shot) else { return };
+        if out.handed.is_none() && now >= out.not_after {
+            let session = held.session;
+            self.give_up_shot(now, id, session, &out);
+            self.ended(now, id, Ending::NoConnection, Load::default());
+        } else if out.handed.is_some() && now >= out.deadline {
+            let session = held.session;
+            self.give_up_shot(now, id, session, &out);
+            if let Some(wire) = self.wires.get_mut(&out.link).filter(|wire| wire.suspect.is_none()) {
+                wire.suspect = Some(now + TEST_WAIT);
+                self.order(now, out.link, Message { session: 0, body: Body::Test });
+            }
+            self.ended(now, id, Ending::TimedOut, Load::default());
+        } else {
+            held.out = Some(out);
+        }
+    }
+
+    /// These shots never left: they are ended as such, where they are still waited for.
+    pub(super) fn end_shots(&mut self, now: Point, shots: Vec<(u32, u32)>, ending: Ending) {
+        for (id, number) in shots {
+            let out = self.held.get(&id).and_then(|held| held.out.as_ref());
+            if out.is_some_and(|out| out.number == number) {
+                self.ended(now, id, ending, Load::default());
+            }
+        }
+    }
+
+    /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
+    pub(super) fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Some(wire) = held.out.take().and_then(|out| self.wires.get_mut(&out.link)) {
+            wire.open = wire.open.saturating_sub(1);
+        }
+        let (handle, plays) = (held.handle, held.playing.is_some());
+        tracing::debug!(
+            target: "decision",
+            session = format!("{:016x}", held.session), streamer = &*held.at, ?ending, plays, ?load
+        );
+        handle.ended(&mut self.module, now, ending, plays, load);
+        if !plays {
+            return;
+        }
+        let Some(held) = self.remove(id) else { return };
+        match ending {
+            Ending::Served => self.release(now, held.conn, held.session, cause::NORMAL),
+            // Its viewer ended it and is owed nothing.
+            Ending::Cancelled => {}
+            _ => self.release(now, held.conn, held.session, cause::BROKEN),
+        }
+    }
+
+    /// Does what the module left to be done, until nothing is left.
+    pub(super) fn carry_out(&mut self, now: Point) {
+        loop {
+            let mut results = std::mem::take(&mut self.module.results);
+            self.wake = results.wake.or(self.wake);
+            let nothing = results == Default::default();
+            for (id, rung) in results.rungs.drain(..) {
+                self.set_rung(now, id, rung);
+            }
+            for shot in results.shots.drain(..) {
+                self.shoot(now, &shot);
+            }
+            for (id, after) in results.turned_back.drain(..) {
+                self.finish(id, viewers::turned_back(after));
+            }
+            for id in results.scrapped.drain(..) {
+                self.finish(id, Body::release(cause::BROKEN));
+            }
+            for id in results.moved.drain(..) {
+                let Some(held) = self.remove(id) else { continue };
+                self.end_at_streamer(now, &held);
+                held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
+                self.say(held.conn, held.session, Body::Move);
+            }
+            if nothing {
+                return;
+            }
+        }
+    }
+
+    /// The one answer of a wish that came to nothing.
+    pub(super) fn finish(&mut self, id: u32, body: Body) {
+        let Some(held) = self.remove(id) else { return };
+        self.turn_away(held.conn, held.session);
+        tracing::debug!(
+            target: "decision",
+            session = format!("{:016x}", held.session), lane = held.set_up.lane, shots = held.shots, ?body
+        );
+        self.say(held.conn, held.session, body);
+    }
+
+    pub(super) fn set_rung(&mut self, now: Point, id: u32, rung: usize) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.rung = rung;
+        if held.playing.is_none() {
+            return;
+        }
+        let (session, at) = (held.session, held.at.clone());
+        if let Some(link) = self.best_link(&at) {
+            self.order(now, link, Message { session, body: Body::Rung(rung) });
+        }
+    }
+
+    pub(super) fn shoot(&mut self, now: Point, shot: &Shot) {
+        let id = shot.id;
+        let Some((at, known)) = self.known.get_key_value(&*shot.streamer) else { return };
+        let (at, ready) = (at.clone(), known.entry.stage() == Stage::Ready);
+        let link = self.best_link(&at);
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let deadline = now + shot.within;
+        // A decision is of its moment: a set-up that can't leave soon goes back to the module.
+        let not_after = deadline.min(now + self.terms.dial_timeout);
+        let number = held.shots;
+        held.shots += 1;
+        held.at = at.clone();
+        let set_up = SetUp {
+            wait_ms: (shot.within.seconds() * 1e3).max(0.0) as u64,
+            rung: Some(held.rung),
+            figures: None,
+            tenant: String::new(),
+            retry: false,
+            ..held.set_up.clone()
+        };
+        let message = Message { session: held.session, body: Body::SetUp(set_up) };
+        tracing::debug!(
+            target: "decision",
+            session = format!("{:016x}", held.session), lane = held.set_up.lane, shot = number,
+            streamer = &*at, rung = held.rung, within_s = shot.within.seconds()
+        );
+        // No link has this number: it is not on one yet.
+        held.out = Some(Out { number, link: 0, deadline, not_after, handed: None });
+        if shot.within <= Span::ZERO || !ready {
+            return self.end_shots(now, vec![(id, number)], Ending::NotSent);
+        }
+        let Some(link) = link.or_else(|| self.redial(now, &at)) else {
+            return self.end_shots(now, vec![(id, number)], Ending::NoConnection);
+        };
+        let Some(wire) = self.wires.get_mut(&link) else { return };
+        let queued = Queued { order: message, shot: Some((id, number)), not_after: Some(not_after) };
+        if wire.open >= self.terms.set_ups_a_link || !wire.link.push(queued) {
+            return self.end_shots(now, vec![(id, number)], Ending::NotSent);
+        }
+        wire.open += 1;
+        let busy = wire.open > 1;
+        if let Some(out) = self.held.get_mut(&id).and_then(|held| held.out.as_mut()) {
+            out.link = link;
+        }
+        self.due.push(Reverse((not_after, id, number)));
+        self.pump(now, link);
+        if busy && self.known.get(&at).is_some_and(|known| known.links.len() < connections::LINKS_A_STREAMER)
+        {
+            self.add_link(now, &at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -0,0 +1,238 @@
+//! The desk's part of viewers: their connections, their set-ups, and the one answer that each is owed.
+
+use super::*;
+
+/// Set-ups owed an answer on one viewers' connection at most. Guards against hundreds at once on one: a usual one
+/// carries a few, and some forty while every streamer stands still.
+const OPEN_MOST: usize = 64;
+/// So many of the last numbers are remembered on each viewers' connection. Guards against those who send the same
+/// set-up again as soon as it is turned away: the platform gives every set-up a new number.
+const NUMBERS_KEPT: usize = 32;
+/// After SIGTERM set-ups are taken as usual for so long; what comes later is turned back.
+const LAST_CALL: Span = Span::of_millis(600);
+const OWED_MOST: usize = 4096;
+
+impl Desk {
+    pub fn viewer_up(&mut self, now: Point, conn: u64) {
+        self.conns.insert(conn, Conn { open: 0, good: false, said: now, turned_away: VecDeque::new() });
+    }
+
+    /// A viewers' connection is over: what was asked on it and not answered is owed to nobody.
+    pub fn viewer_gone(&mut self, now: Point, conn: u64) {
+        let Some(was) = self.conns.remove(&conn) else { return };
+        if was.open > 0 {
+            let on_it = |held: &Held| held.conn == conn && held.playing.is_none();
+            let ids: Vec<u32> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
+            for id in ids {
+                self.given_up(now, id);
+            }
+        }
+        self.carry_out(now);
+    }
+
+    /// The connection to end first where there are too many: idle for longest, before those that were of use.
+    pub fn spare(&self) -> Option<u64> {
+        let idle = self.conns.iter().filter(|(_, conn)| conn.open == 0);
+        idle.min_by_key(|(_, conn)| (conn.good, conn.said)).map(|(conn, _)| *conn)
+    }
+
+    /// Ends a viewers' connection from this side.
+    pub fn part(&mut self, now: Point, conn: u64) {
+        if self.conns.contains_key(&conn) {
+            self.effects.push(Effect::Part { conn });
+            self.viewer_gone(now, conn);
+        }
+    }
+
+    pub fn viewer_said(&mut self, now: Point, conn: u64, message: Message) {
+        let Some(from) = self.conns.get_mut(&conn) else { return };
+        from.said = now;
+        let session = message.session;
+        match message.body {
+            Body::Test => self.say(conn, session, Body::Tested { passed: true }),
+            Body::SetUp(set_up) => self.set_up(now, conn, session, set_up),
+            Body::Unusable(why) => {
+                tracing::info!(target: "viewers", why, "a set-up that can't be used");
+                self.refuse(now, conn, session);
+            }
+            Body::Release { .. } => {
+                let id = self.by_session.get(&session).copied();
+                let held = id.and_then(|id| Some((id, self.held.get(&id)?)));
+                match held.map(|(id, held)| (id, held.playing.is_some(), held.conn == conn)) {
+                    Some((id, true, _)) => self.viewer_ends(now, id),
+                    Some((id, false, true)) => self.given_up(now, id),
+                    // Another connection's set-up, or none at all: not theirs to give up.
+                    _ => {}
+                }
+            }
+            Body::Heard | Body::Progress | Body::Tested { .. } => {}
+            // Only streamers and controllers say these.
+            Body::Answer { .. } | Body::Note(_) | Body::OtherNote | Body::Move | Body::Rung(_) => {
+                self.part(now, conn);
+            }
+        }
+        self.carry_out(now);
+    }
+
+    pub(super) fn say(&mut self, conn: u64, session: u64, body: Body) {
+        self.effects.push(Effect::Say { conn, message: Message { session, body } });
+    }
+
+    /// A set-up that can't be taken. Under the number of one that is open on the same connection no answer can
+    /// be told from the other's: the connection ends.
+    pub(super) fn refuse(&mut self, now: Point, conn: u64, session: u64) {
+        let other = self.by_session.get(&session).and_then(|id| self.held.get(id));
+        if other.is_some_and(|held| held.conn == conn) {
+            return self.part(now, conn);
+        }
+        self.say(conn, session, Body::release(cause::UNUSABLE));
+    }
+
+    /// Remembers a number that was turned away on a connection.
+    pub(super) fn turn_away(&mut self, conn: u64, session: u64) {
+        let Some(from) = self.conns.get_mut(&conn) else { return };
+        if from.turned_away.len() >= NUMBERS_KEPT {
+            from.turned_away.pop_front();
+        }
+        from.turned_away.push_back(session);
+    }
+
+    /// What is wrong with a set-up, as far as the settings tell.
+    pub(super) fn wrong(&self, set_up: &SetUp) -> Option<&'static str> {
+        let Some(figures) = &set_up.figures else { return Some("no figures") };
+        let terms = &self.terms;
+        let of_lane = terms.lanes.iter().any(|(name, _)| *name == set_up.lane);
+        let of_tenant = terms.tenants.is_empty() || terms.tenants.contains(&set_up.tenant);
+        let held = (1..=terms.cells).contains(&figures.copies) && figures.home < terms.cells;
+        match () {
+            () if !of_lane => Some("no such lane"),
+            () if !of_tenant => Some("no such tenant"),
+            () if !held => Some("no such cells"),
+            () if figures.top >= terms.rungs => Some("no such rung"),
+            () if set_up.title.is_empty() => Some("no title"),
+            () if set_up.wait_ms == 0 => Some("no time to answer"),
+            () => None,
+        }
+    }
+
+    pub(super) fn set_up(&mut self, now: Point, conn: u64, session: u64, set_up: SetUp) {
+        tracing::debug!(target: "decision", session = format!("{session:016x}"), conn, ?set_up);
+        let why = if session == 0 { Some("no id") } else { self.wrong(&set_up) };
+        let plays_at = set_up.figures.as_ref().and_then(|figures| figures.at.clone());
+        if let Some(why) = why {
+            tracing::info!(target: "viewers", why, "a set-up that can't be used");
+            if plays_at.is_none() {
+                self.refuse(now, conn, session);
+            }
+            return;
+        }
+        let figures = set_up.figures.clone().unwrap_or_default();
+        let lane = self.terms.lanes.iter().find(|(name, _)| *name == set_up.lane);
+        // The viewer's word counts up to the lane's cut-off: a time far ahead would be kept for ever.
+        let wait = Span::of((set_up.wait_ms as f64 / 1e3).min(lane.map_or(0.0, |lane| lane.1.seconds())));
+        let (title, tenant, lane) = (set_up.title.clone(), set_up.tenant.clone(), set_up.lane.clone());
+        self.next_id = self.next_id.wrapping_add(1);
+        let id = self.next_id;
+        let wish = Wish {
+            id,
+            lane: &lane,
+            tenant: &tenant,
+            title: &title,
+            cut_off: (now + wait) - ANSWER_MARGIN,
+            home: figures.home,
+            copies: figures.copies,
+            top: figures.top,
+            returned: figures.again,
+            length: None,
+        };
+        let held = |handle, at: Rc<str>, playing| Held {
+            session,
+            handle,
+            conn,
+            set_up,
+            at,
+            rung: 0,
+            shots: 0,
+            out: None,
+            playing,
+        };
+        if let Some(at) = plays_at {
+            // It may name what is in hand already.
+            if self.by_session.contains_key(&session) {
+                return;
+            }
+            let Some((at, _)) = self.known.get_key_value(&*at) else {
+                return self.release(now, conn, session, cause::BROKEN);
+            };
+            let at = at.clone();
+            let handle = self.module.inherit(now, &wish, &at);
+            let mut held = held(handle, at, Some(now));
+            held.set_up.description = Bytes::new();
+            self.held.insert(id, held);
+            self.by_session.insert(session, id);
+            return self.carry_out(now);
+        }
+        if self.by_session.contains_key(&session) {
+            return self.refuse(now, conn, session);
+        }
+        let from = self.conns.get(&conn);
+        if from.is_some_and(|from| from.turned_away.contains(&session)) {
+            self.refuse(now, conn, session);
+            if self.conns.get(&conn).is_some_and(|from| from.open == 0) {
+                self.part(now, conn);
+            }
+            return;
+        }
+        let crowded = from.is_none_or(|from| from.open >= OPEN_MOST);
+        let late = self.stops.is_some_and(|since| now - since > LAST_CALL);
+        if late || crowded || self.held.len() >= self.terms.held_most {
+            self.turn_away(conn, session);
+            return self.say(conn, session, turned_back(self.module.come_again()));
+        }
+        let handle = self.module.take(now, &wish);
+        self.held.insert(id, held(handle, "".into(), None));
+        self.by_session.insert(session, id);
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.open += 1;
+        }
+        self.carry_out(now);
+    }
+
+    /// A viewer stops waiting: no answer is owed, and what is out is given up.
+    pub(super) fn given_up(&mut self, now: Point, id: u32) {
+        let Some(mut held) = self.remove(id) else { return };
+        held.handle.left(&mut self.module);
+        if let Some(out) = held.out.take() {
+            let ending = self.give_up_shot(now, id, held.session, &out);
+            held.handle.ended(&mut self.module, now, ending, true, Load::default());
+        }
+        self.carry_out(now);
+    }
+
+    /// The viewer ends what plays; it is owed no release.
+    pub(super) fn viewer_ends(&mut self, now: Point, id: u32) {
+        let Some(held) = self.remove(id) else { return };
+        self.end_at_streamer(now, &held);
+        held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
+        self.carry_out(now);
+    }
+
+    /// Tells a viewer that what stood is over, on its own connection or on any that viewers use.
+    pub(super) fn release(&mut self, now: Point, conn: u64, session: u64, why: u8) {
+        let own = self.conns.contains_key(&conn).then_some(conn);
+        let good = self.conns.iter().filter(|(_, conn)| conn.good).max_by_key(|(_, conn)| conn.said);
+        match own.or(good.map(|(conn, _)| *conn)) {
+            Some(conn) => self.say(conn, session, Body::release(why)),
+            None if self.owed.len() < OWED_MOST => {
+                self.owed.push_back((now + OWED_FOR, Message { session, body: Body::release(why) }));
+            }
+            None => {}
+        }
+    }
+}
+
+/// The answer to a wish that is turned back, with the time to come again where there is one.
+pub(super) fn turned_back(after: Option<Span>) -> Body {
+    let stay_away_ms = after.map(|after| (after.seconds() * 1e3).round() as u64);
+    Body::Release { cause: cause::TURNED_BACK, stay_away_ms, load: Load::default() }
+}
