--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -10,6 +10,8 @@
 
 use crate::codec::{cause, Body, Message, Note, SetUp};
 use crate::config::{Entry, Hosts};
+use crate::permit::Permit;
+use crate::viewers::Said;
 use bytes::Bytes;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
@@ -27,6 +29,8 @@
 const LINK_BEAT: Span = Span::of_millis(100);
 /// A release that no connection could take is kept for so long.
 const OWED_FOR: Span = Span::of_millis(8000);
+/// Ends of what nobody has handed over yet that are remembered, and releases that wait for a streamer, at most.
+const OVER_MOST: usize = 1024;
 
 /// What the platform states and the desk itself needs; the rest is the module's, in the sheet.
 #[derive(Clone, Debug, Default)]
@@ -53,6 +57,13 @@
     Say {
         conn: u64,
         message: Message,
+        /// It ends what stood: any viewers' connection may carry it.
+        stood: bool,
+    },
+    /// Close a viewers' connection on which nothing is open, unless more than so many messages came on it.
+    Retire {
+        conn: u64,
+        heard: u64,
     },
     /// End a viewers' connection, after what was said on it.
     Part {
@@ -66,7 +77,7 @@
     Write {
         link: u64,
         dial: u64,
-        orders: Vec<Queued<Message>>,
+        orders: Vec<Queued<Order>>,
     },
     /// Close the connection of that dial.
     Hang {
@@ -86,13 +97,25 @@
     Broke,
 }
 
+/// An attempt that is out.
 struct Out {
     number: u32,
     link: u64,
+    dial: u64,
     deadline: Point,
     not_after: Point,
-    /// When it was given to the socket: from here on it may have run.
-    handed: Option<Point>,
+    /// From the moment in which it begins it may have run.
+    permit: Permit,
+    /// It is given up, and is told as this once its end is written or its connection is closed. Guards against two
+    /// attempts at once: the word that gives one up waits behind a slow batch, and the next leaves elsewhere.
+    ending: Option<Ending>,
+}
+
+/// A message for a streamer. One with a permit is written only where that may still begin.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub message: Message,
+    pub permit: Option<Permit>,
 }
 
 /// A wish or subscription in hand.
@@ -103,6 +126,8 @@
     /// What is passed on with a shot; given up once it plays.
     set_up: SetUp,
     at: Rc<str>,
+    /// Until when it may be sent.
+    until: Point,
     rung: usize,
     shots: u32,
     out: Option<Out>,
@@ -120,11 +145,31 @@
 /// One connection to a streamer.
 struct Wire {
     at: Rc<str>,
-    link: Link<Message>,
+    link: Link<Order>,
     /// Set-ups that wait on it or are out on it.
     open: usize,
     /// A set-up got no answer on it: it must say something until then.
     suspect: Option<Point>,
+    /// Attempts that are given up here, each with the permit of the word that says so.
+    ends: Vec<(u32, u32, Permit)>,
+}
+
+/// How something ended that this controller did not hold.
+#[derive(Clone, Copy)]
+enum Over {
+    /// Its streamer said so.
+    AtStreamer(u8),
+    /// Its viewer ended it.
+    ByViewer,
+}
+
+/// A release that a streamer must get.
+struct End {
+    at: Rc<str>,
+    session: u64,
+    until: Point,
+    /// Of the word that is on its way, with its connection.
+    word: Option<(u64, u64, Permit)>,
 }
 
 /// A viewers' connection.
@@ -134,6 +179,10 @@
     /// A subscription was set up on it.
     good: bool,
     said: Point,
+    /// Messages heard on it.
+    heard: u64,
+    /// It was asked to close, and has not said anything since.
+    retiring: bool,
     /// The last set-ups that were turned away on it.
     turned_away: VecDeque<u64>,
 }
@@ -156,6 +205,12 @@
     next_id: u32,
     next_link: u64,
     stops: Option<Point>,
+    /// How long this process stood still before what it hears now.
+    late: Span,
+    /// Ends of what stood that were heard before anybody handed it over, by their session.
+    over: VecDeque<(u64, Over)>,
+    /// Releases for streamers that are not written yet.
+    ends: VecDeque<End>,
     pub effects: Vec<Effect>,
 }
 
@@ -180,6 +235,9 @@
             next_id: 0,
             next_link: 0,
             stops: None,
+            late: Span::ZERO,
+            over: VecDeque::new(),
+            ends: VecDeque::new(),
             effects: Vec::new(),
         }
     }
@@ -208,6 +266,12 @@
         self.known.len()
     }
 
+    /// What is heard from now on may have come as long ago as this process stood still. Guards against answers that
+    /// come when the viewer's own time is over.
+    pub fn stood_still(&mut self, late: Span) {
+        self.late = late;
+    }
+
     /// Set-ups that come from now on are taken for a moment only: the platform is about to stop this process.
     pub fn stop(&mut self, now: Point) {
         self.stops.get_or_insert(now);
@@ -219,6 +283,7 @@
             self.look_after_links(now, now - self.looked_after);
             self.looked_after = now;
             self.owed.retain(|(until, _)| now <= *until);
+            self.end_again(now);
         }
         while let Some(Reverse((_, id, shot))) = self.due.peek().copied().filter(|r| r.0 .0 <= now) {
             self.due.pop();
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -4,19 +4,36 @@
 
 /// A connection on which a set-up got no answer must pass a test within this time, or it is of no more use.
 const TEST_WAIT: Span = Span::of_millis(400);
+/// The end of an attempt that is given up must be written within this time, or its connection is closed; and must
+/// be closed within as long again, or the request goes on without.
+const END_WAIT: Span = Span::of_millis(60);
 
 impl Desk {
-    /// Takes a shot back, from the queue or from the streamer; what is then to be told of it.
-    pub(super) fn give_up_shot(&mut self, now: Point, id: u32, session: u64, out: &Out) -> Ending {
-        if let Some(wire) = self.wires.get_mut(&out.link) {
+    /// Takes an attempt back, from the queue or from the streamer; what is then to be told of it, and the permit of
+    /// the word that gives it up where one has to be written.
+    pub(super) fn give_up(
+        &mut self,
+        now: Point,
+        id: u32,
+        session: u64,
+        out: &Out,
+    ) -> (Ending, Option<Permit>) {
+        let (never_ran, wire) = (out.permit.withdraw(), self.wires.get_mut(&out.link));
+        if let Some(wire) = wire {
             wire.open = wire.open.saturating_sub(1);
-            if out.handed.is_none() {
+            if never_ran {
                 wire.link.withdraw((id, out.number));
-                return Ending::NotSent;
             }
         }
-        self.order(now, out.link, Message { session, body: Body::release(cause::NORMAL) });
-        Ending::Cancelled
+        if never_ran {
+            return (Ending::NotSent, None);
+        }
+        if out.ending.is_some() {
+            return (Ending::Cancelled, None);
+        }
+        let word = Permit::new();
+        let message = Message { session, body: Body::release(cause::NORMAL) };
+        (Ending::Cancelled, self.order_with(now, out.link, message, Some(word.clone())).then_some(word))
     }
 
     pub(super) fn remove(&mut self, id: u32) -> Option<Held> {
@@ -50,32 +67,69 @@
         }
         for (until, message) in std::mem::take(&mut self.owed) {
             if now <= until {
-                self.effects.push(Effect::Say { conn, message });
+                self.effects.push(Effect::Say { conn, message, stood: true });
             }
         }
     }
 
-    /// A shot's moment came: it was not written in time, or not answered in time.
-    pub(super) fn overdue(&mut self, now: Point, id: u32, shot: u32) {
+    /// An attempt's moment came: it was not written in time, or not answered in time, or its end is not written.
+    pub(super) fn overdue(&mut self, now: Point, id: u32, number: u32) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(out) = held.out.take_if(|out| out.number == shot) else { return };
-        if out.handed.is_none() && now >= out.not_after {
-            let session = held.session;
-            self.give_up_shot(now, id, session, &out);
+        let (session, until) = (held.session, held.until);
+        let Some(out) = held.out.take_if(|out| out.number == number) else { return };
+        if out.ending.is_some() {
+            let (link, dial) = (out.link, out.dial);
+            held.out = Some(out);
+            if self.is_current(link, dial) {
+                // It does not take even a word: the close gives up what is out there.
+                self.due.push(Reverse((now + END_WAIT, id, number)));
+                return self.hang(now, link, Loss::Broke);
+            }
+            return self.end_given_up(now, id, number);
+        }
+        if now >= out.not_after && out.permit.withdraw() {
+            self.give_up(now, id, session, &out);
             self.ended(now, id, Ending::NoConnection, Load::default());
-        } else if out.handed.is_some() && now >= out.deadline {
-            let session = held.session;
-            self.give_up_shot(now, id, session, &out);
-            if let Some(wire) = self.wires.get_mut(&out.link).filter(|wire| wire.suspect.is_none()) {
+        } else if out.permit.has_begun() && now >= out.deadline {
+            let (link, word) = (out.link, self.give_up(now, id, session, &out).1);
+            if let Some(wire) = self.wires.get_mut(&link).filter(|wire| wire.suspect.is_none()) {
                 wire.suspect = Some(now + TEST_WAIT);
-                self.order(now, out.link, Message { session: 0, body: Body::Test });
+                self.order(now, link, Message { session: 0, body: Body::Test });
             }
-            self.ended(now, id, Ending::TimedOut, Load::default());
+            let wire = self.wires.get_mut(&link).filter(|_| now < until);
+            let Some((wire, word)) = wire.zip(word) else {
+                return self.ended(now, id, Ending::TimedOut, Load::default());
+            };
+            // Another attempt may follow: not before this one's end is written.
+            wire.open += 1;
+            wire.ends.push((id, number, word));
+            let Some(held) = self.held.get_mut(&id) else { return };
+            held.out = Some(Out { ending: Some(Ending::TimedOut), ..out });
+            self.due.push(Reverse((now + END_WAIT, id, number)));
         } else {
             held.out = Some(out);
         }
     }
 
+    /// The end of an attempt that was given up is written, or its connection is closed.
+    pub(super) fn end_given_up(&mut self, now: Point, id: u32, number: u32) {
+        let out = self.held.get(&id).and_then(|held| held.out.as_ref()).filter(|out| out.number == number);
+        if let Some(ending) = out.and_then(|out| out.ending) {
+            self.ended(now, id, ending, Load::default());
+        }
+    }
+
+    /// Takes back the attempts of a connection that have not begun.
+    pub(super) fn withdraw_waiting(&mut self, link: u64) -> Vec<(u32, u32)> {
+        let wire = self.wires.get_mut(&link);
+        let _ = wire.map(|wire| wire.link.withdraw_set_ups());
+        let waits = |held: &Held| {
+            let out = held.out.as_ref().filter(|out| out.link == link && out.ending.is_none())?;
+            out.permit.withdraw().then_some(out.number)
+        };
+        self.held.iter().filter_map(|(id, held)| Some((*id, waits(held)?))).collect()
+    }
+
     /// These shots never left: they are ended as such, where they are still waited for.
     pub(super) fn end_shots(&mut self, now: Point, shots: Vec<(u32, u32)>, ending: Ending) {
         for (id, number) in shots {
@@ -130,7 +184,7 @@
             }
             for id in results.moved.drain(..) {
                 let Some(held) = self.remove(id) else { continue };
-                self.end_at_streamer(now, &held);
+                self.end_at(now, &held.at, held.session);
                 held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
                 self.say(held.conn, held.session, Body::Move);
             }
@@ -165,7 +219,10 @@
 
     pub(super) fn shoot(&mut self, now: Point, shot: &Shot) {
         let id = shot.id;
-        let Some((at, known)) = self.known.get_key_value(&*shot.streamer) else { return };
+        let Some((at, known)) = self.known.get_key_value(&*shot.streamer) else {
+            // Guards against a request that waits for ever for an attempt at somebody who is not there.
+            return self.ended(now, id, Ending::NotSent, Load::default());
+        };
         let (at, ready) = (at.clone(), known.entry.stage() == Stage::Ready);
         let link = self.best_link(&at);
         let Some(held) = self.held.get_mut(&id) else { return };
@@ -183,31 +240,36 @@
             retry: false,
             ..held.set_up.clone()
         };
+        let permit = Permit::new();
         let message = Message { session: held.session, body: Body::SetUp(set_up) };
+        let order = Order { message, permit: Some(permit.clone()) };
         tracing::debug!(
             target: "decision",
             session = format!("{:016x}", held.session), lane = held.set_up.lane, shot = number,
             streamer = &*at, rung = held.rung, within_s = shot.within.seconds()
         );
         // No link has this number: it is not on one yet.
-        held.out = Some(Out { number, link: 0, deadline, not_after, handed: None });
+        held.out = Some(Out { number, link: 0, dial: 0, deadline, not_after, permit, ending: None });
         if shot.within <= Span::ZERO || !ready {
             return self.end_shots(now, vec![(id, number)], Ending::NotSent);
         }
         let Some(link) = link.or_else(|| self.redial(now, &at)) else {
-            return self.end_shots(now, vec![(id, number)], Ending::NoConnection);
+            // Where this process has no descriptor left, that tells nothing of the streamer.
+            let why = if self.has_room_to_dial() { Ending::NoConnection } else { Ending::NotSent };
+            return self.end_shots(now, vec![(id, number)], why);
         };
         let Some(wire) = self.wires.get_mut(&link) else { return };
-        let queued = Queued { order: message, shot: Some((id, number)), not_after: Some(not_after) };
+        let queued = Queued { order, shot: Some((id, number)), not_after: Some(not_after) };
         if wire.open >= self.terms.set_ups_a_link || !wire.link.push(queued) {
             return self.end_shots(now, vec![(id, number)], Ending::NotSent);
         }
         wire.open += 1;
-        let busy = wire.open > 1;
+        let (busy, dial) = (wire.open > 1, wire.link.dial);
         if let Some(out) = self.held.get_mut(&id).and_then(|held| held.out.as_mut()) {
-            out.link = link;
+            (out.link, out.dial) = (link, dial);
         }
         self.due.push(Reverse((not_after, id, number)));
+        self.due.push(Reverse((deadline, id, number)));
         self.pump(now, link);
         if busy && self.known.get(&at).is_some_and(|known| known.links.len() < connections::LINKS_A_STREAMER)
         {
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -7,12 +7,43 @@
 /// A streamer that can't be reached for so long no longer plays what stood there; the platform gives 8 s in all,
 /// of which a silent connection takes three.
 const DARK: Span = Span::of_millis(1200);
+/// A connection that is told to close is taken to be closed after so long, whatever its task reports.
+const CLOSE_WAIT: Span = Span::of_millis(60);
 
 impl Desk {
-    pub(super) fn end_at_streamer(&mut self, now: Point, held: &Held) {
-        if let Some(link) = self.best_link(&held.at).or_else(|| self.redial(now, &held.at)) {
-            let body = Body::release(cause::NORMAL);
-            self.order(now, link, Message { session: held.session, body });
+    /// Tells a streamer that what stands there is over; again, where the connection goes before it is written. Guards
+    /// against streams that nobody watches.
+    pub(super) fn end_at(&mut self, now: Point, at: &Rc<str>, session: u64) {
+        let mut end = End { at: at.clone(), session, until: now + OWED_FOR, word: None };
+        self.send_end(now, &mut end);
+        if self.ends.len() >= OVER_MOST {
+            self.ends.pop_front();
+        }
+        self.ends.push_back(end);
+    }
+
+    fn send_end(&mut self, now: Point, end: &mut End) {
+        end.word = None;
+        let Some(link) = self.best_link(&end.at).or_else(|| self.redial(now, &end.at)) else { return };
+        let (word, message) =
+            (Permit::new(), Message { session: end.session, body: Body::release(cause::NORMAL) });
+        if self.order_with(now, link, message, Some(word.clone())) {
+            let dial = self.wires.get(&link).map_or(0, |wire| wire.link.dial);
+            end.word = Some((link, dial, word));
+        }
+    }
+
+    /// Sends again what was not written before its connection went.
+    pub(super) fn end_again(&mut self, now: Point) {
+        for mut end in std::mem::take(&mut self.ends) {
+            let written = end.word.as_ref().is_some_and(|(.., word)| word.has_begun());
+            if written || now > end.until || !self.known.contains_key(&end.at) {
+                continue;
+            }
+            if !end.word.as_ref().is_some_and(|(link, dial, _)| self.is_current(*link, *dial)) {
+                self.send_end(now, &mut end);
+            }
+            self.ends.push_back(end);
         }
     }
 
@@ -35,24 +66,46 @@
         self.pump(now, link);
     }
 
-    /// A connection or a dial is over.
+    /// A connection or a dial is over, and closed.
     pub fn lost(&mut self, now: Point, link: u64, dial: u64, loss: Loss) {
-        if self.is_current(link, dial) {
-            self.lose(now, link, loss);
+        let of = |out: &&Out| (out.link, out.dial) == (link, dial) && out.ending.is_some();
+        let out = |held: &Held| held.out.as_ref().filter(of).map(|out| out.number);
+        let given_up: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, out(held)?))).collect();
+        let current = self.is_current(link, dial);
+        if current {
+            self.lose(now, link, loss, true);
+        }
+        for (id, number) in &given_up {
+            self.end_given_up(now, *id, *number);
+        }
+        if current || !given_up.is_empty() {
             self.carry_out(now);
         }
     }
 
-    pub(super) fn lose(&mut self, now: Point, link: u64, loss: Loss) {
+    /// `closed` says that nothing more can leave on it; where it is only told to close, what has begun on it is
+    /// over with the close and not before.
+    pub(super) fn lose(&mut self, now: Point, link: u64, loss: Loss, closed: bool) {
         let chance = self.chance.random::<f64>();
+        let waiting = self.withdraw_waiting(link);
         let Some(wire) = self.wires.get_mut(&link) else { return };
         let at = wire.at.clone();
         wire.link.down(now, chance);
         wire.suspect = None;
-        let waiting = wire.link.withdraw_all();
+        wire.ends.clear();
+        wire.link.withdraw_all();
         tracing::info!(target: "streamers", streamer = &*at, ?loss, waiting = waiting.len(), "link lost");
-        let on_it = |held: &Held| held.out.as_ref().is_some_and(|o| o.link == link && o.handed.is_some());
-        let broken: Vec<u32> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
+        let mut broken = Vec::new();
+        for (id, held) in &mut self.held {
+            if let Some(out) = held.out.as_mut().filter(|out| out.link == link && out.permit.has_begun()) {
+                if !closed {
+                    out.ending = out.ending.or(Some(Ending::Broken));
+                    self.due.push(Reverse((now + CLOSE_WAIT, *id, out.number)));
+                } else if out.ending.is_none() {
+                    broken.push(*id);
+                }
+            }
+        }
         let others = |known: &Known, wires: &BTreeMap<u64, Wire>| {
             known.links.iter().any(|l| *l != link && wires.get(l).is_some_and(|wire| wire.link.is_up()))
         };
@@ -94,6 +147,16 @@
             wire.link.wrote();
         }
         self.end_shots(now, unsent, Ending::NotSent);
+        let written = |wire: &mut Wire| {
+            let (written, ends) =
+                std::mem::take(&mut wire.ends).into_iter().partition(|end| end.2.has_begun());
+            wire.ends = ends;
+            written
+        };
+        let written: Vec<(u32, u32, Permit)> = self.wires.get_mut(&link).map(written).unwrap_or_default();
+        for (id, number, _) in written {
+            self.end_given_up(now, id, number);
+        }
         self.carry_out(now);
         self.pump(now, link);
     }
@@ -110,9 +173,16 @@
         // What is said under a number that is not in hand at this streamer is somebody else's, or over.
         let id = self.by_session.get(&message.session).copied();
         let ours = id.and_then(|id| Some((id, self.held.get(&id).filter(|held| held.at == at)?)));
-        let Some((id, held)) = ours else { return };
+        let Some((id, held)) = ours else {
+            if let (None, Body::Release { cause, .. }) = (id, &message.body) {
+                self.remember(message.session, Over::AtStreamer(*cause));
+            }
+            return;
+        };
         let (handle, plays) = (held.handle, held.playing.is_some());
-        let waits = held.out.as_ref().is_some_and(|out| out.link == link && out.handed.is_some());
+        let waits = held.out.as_ref();
+        let waits =
+            waits.is_some_and(|out| out.link == link && out.ending.is_none() && out.permit.has_begun());
         if let Body::Release { cause, .. } = &message.body {
             tracing::debug!(target: "streamers", session = format!("{:016x}", message.session), cause, plays);
         }
@@ -196,23 +266,48 @@
         }
         self.next_link += 1;
         known.links.push(self.next_link);
-        let wire = Wire { at: at.clone(), link: Link::new(now), open: 0, suspect: None };
+        let wire = Wire { at: at.clone(), link: Link::new(now), open: 0, suspect: None, ends: Vec::new() };
         self.wires.insert(self.next_link, wire);
         self.dial(now, self.next_link);
     }
 
     pub(super) fn dial(&mut self, now: Point, link: u64) {
-        let Some(wire) = self.wires.get_mut(&link) else { return };
+        if !self.has_room_to_dial() {
+            self.free_a_connection(now);
+        }
+        let room = self.has_room_to_dial();
+        let Some(wire) = self.wires.get_mut(&link).filter(|_| room) else { return };
         let Some(known) = self.known.get(&wire.at) else { return };
         let dial = wire.link.start_dial(now, self.terms.dial_timeout);
         self.effects.push(Effect::Dial { link, dial, address: known.entry.addr.clone() });
     }
 
+    /// Whether one more connection stays within the descriptors that are set apart for streamers. Guards against
+    /// more streamers than descriptors: the list and the viewers have theirs, whatever plays.
+    pub(super) fn has_room_to_dial(&self) -> bool {
+        let live = |wire: &&Wire| wire.link.is_up() || wire.link.is_dialling();
+        self.wires.values().filter(live).count() < self.terms.links_most
+    }
+
+    /// Closes a connection that nothing needs, the one that is idle for longest first, or else one of several to the
+    /// same streamer.
+    fn free_a_connection(&mut self, now: Point) {
+        let several = |at: &Rc<str>| self.known.get(at).is_some_and(|known| known.links.len() > 1);
+        let free = |wire: &Wire| {
+            wire.link.is_up() && wire.open == 0 && (wire.link.idle.is_some() || several(&wire.at))
+        };
+        let all = self.wires.iter().filter(|(_, wire)| free(wire));
+        let first = all.min_by_key(|(_, wire)| (wire.link.idle.is_none(), wire.link.idle));
+        if let Some(link) = first.map(|(link, _)| *link) {
+            self.hang(now, link, Loss::Broke);
+        }
+    }
+
     pub(super) fn hang(&mut self, now: Point, link: u64, loss: Loss) {
         let Some(wire) = self.wires.get(&link) else { return };
         if wire.link.is_up() || wire.link.is_dialling() {
             self.effects.push(Effect::Hang { link, dial: wire.link.dial });
-            self.lose(now, link, loss);
+            self.lose(now, link, loss, false);
         }
     }
 
@@ -225,15 +320,29 @@
     }
 
     /// Puts an order that is no set-up on a link; one that takes none any more is of no use.
-    pub(super) fn order(&mut self, now: Point, link: u64, order: Message) {
-        let Some(wire) = self.wires.get_mut(&link) else { return };
+    pub(super) fn order(&mut self, now: Point, link: u64, message: Message) {
+        self.order_with(now, link, message, None);
+    }
+
+    /// The same with a permit that tells when it is written; whether it is on its way.
+    pub(super) fn order_with(
+        &mut self,
+        now: Point,
+        link: u64,
+        message: Message,
+        permit: Option<Permit>,
+    ) -> bool {
+        let Some(wire) = self.wires.get_mut(&link) else { return false };
         if !wire.link.is_up() && !wire.link.is_dialling() {
-            return;
+            return false;
         }
-        if !wire.link.push(Queued { order, shot: None, not_after: None }) {
-            return self.hang(now, link, Loss::Broke);
+        let pushed = wire.link.push(Queued { order: Order { message, permit }, shot: None, not_after: None });
+        if pushed {
+            self.pump(now, link);
+        } else {
+            self.hang(now, link, Loss::Broke);
         }
-        self.pump(now, link);
+        pushed
     }
 
     /// Hands the next orders of a link to the I/O.
@@ -244,13 +353,6 @@
             return;
         }
         let dial = wire.link.dial;
-        for (id, number) in orders.iter().filter_map(|order| order.shot) {
-            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
-            if let Some(out) = out.filter(|out| out.number == number) {
-                out.handed = Some(now);
-                self.due.push(Reverse((out.deadline, id, number)));
-            }
-        }
         self.effects.push(Effect::Write { link, dial, orders });
     }
 
@@ -259,12 +361,12 @@
         let links = &self.known.get(at)?.links;
         if links.is_empty() {
             self.add_link(now, at);
-            return Some(self.next_link);
+            return Some(self.next_link).filter(|link| self.wires[link].link.is_dialling());
         }
         let may = |link: &&u64| self.wires.get(link).is_some_and(|wire| wire.link.may_dial(now));
         let link = *links.iter().find(may)?;
         self.wires.get_mut(&link)?.link.idle = None;
         self.dial(now, link);
-        Some(link)
+        self.wires.get(&link).filter(|wire| wire.link.is_dialling()).map(|_| link)
     }
 }
--- a/crates/lemontide-platform/src/desk/list.rs
+++ b/crates/lemontide-platform/src/desk/list.rs
@@ -57,8 +57,10 @@
         for link in known.links.clone() {
             let Some(wire) = self.wires.get_mut(&link) else { continue };
             wire.link.wanted = stage != Stage::Gone;
-            let shots = if stage == Stage::Ready { Vec::new() } else { wire.link.withdraw_set_ups() };
-            self.end_shots(now, shots, Ending::NotSent);
+            if stage != Stage::Ready {
+                let shots = self.withdraw_waiting(link);
+                self.end_shots(now, shots, Ending::NotSent);
+            }
         }
     }
 
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -14,7 +14,9 @@
 
 impl Desk {
     pub fn viewer_up(&mut self, now: Point, conn: u64) {
-        self.conns.insert(conn, Conn { open: 0, good: false, said: now, turned_away: VecDeque::new() });
+        let new =
+            Conn { open: 0, good: false, said: now, heard: 0, retiring: false, turned_away: VecDeque::new() };
+        self.conns.insert(conn, new);
     }
 
     /// A viewers' connection is over: what was asked on it and not answered is owed to nobody.
@@ -32,10 +34,39 @@
 
     /// The connection to end first where there are too many: idle for longest, before those that were of use.
     pub fn spare(&self) -> Option<u64> {
-        let idle = self.conns.iter().filter(|(_, conn)| conn.open == 0);
+        let idle = self.conns.iter().filter(|(_, conn)| conn.open == 0 && !conn.retiring);
         idle.min_by_key(|(_, conn)| (conn.good, conn.said)).map(|(conn, _)| *conn)
     }
 
+    /// Asks the spare connection to close; whether there is one. What it says meanwhile is heard, and keeps it.
+    pub fn make_room(&mut self) -> bool {
+        let Some(conn) = self.spare() else { return false };
+        if let Some(from) = self.conns.get_mut(&conn) {
+            from.retiring = true;
+            self.effects.push(Effect::Retire { conn, heard: from.heard });
+        }
+        true
+    }
+
+    /// What was to be said on a connection that is over. What stood is told of elsewhere; what a viewer never heard
+    /// is set up is ended.
+    pub fn unsaid(&mut self, now: Point, all: Vec<Said>) {
+        for Said { message, stood } in all {
+            match message.body {
+                Body::Release { cause, .. } if stood => self.release(now, 0, message.session, cause),
+                Body::Answer { .. } => {
+                    let id = self.by_session.get(&message.session).copied();
+                    let plays = |id: &u32| self.held.get(id).is_some_and(|held| held.playing.is_some());
+                    if let Some(id) = id.filter(plays) {
+                        self.viewer_ends(now, id);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.carry_out(now);
+    }
+
     /// Ends a viewers' connection from this side.
     pub fn part(&mut self, now: Point, conn: u64) {
         if self.conns.contains_key(&conn) {
@@ -47,6 +78,8 @@
     pub fn viewer_said(&mut self, now: Point, conn: u64, message: Message) {
         let Some(from) = self.conns.get_mut(&conn) else { return };
         from.said = now;
+        from.heard += 1;
+        from.retiring = false;
         let session = message.session;
         match message.body {
             Body::Test => self.say(conn, session, Body::Tested { passed: true }),
@@ -61,8 +94,10 @@
                 match held.map(|(id, held)| (id, held.playing.is_some(), held.conn == conn)) {
                     Some((id, true, _)) => self.viewer_ends(now, id),
                     Some((id, false, true)) => self.given_up(now, id),
-                    // Another connection's set-up, or none at all: not theirs to give up.
-                    _ => {}
+                    // Another connection's set-up is not theirs to give up.
+                    Some(_) => {}
+                    // It may be handed over yet, on another connection.
+                    None => self.remember(session, Over::ByViewer),
                 }
             }
             Body::Heard | Body::Progress | Body::Tested { .. } => {}
@@ -75,7 +110,15 @@
     }
 
     pub(super) fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.effects.push(Effect::Say { conn, message: Message { session, body } });
+        self.effects.push(Effect::Say { conn, message: Message { session, body }, stood: false });
+    }
+
+    /// Remembers an end that nobody here waits for.
+    pub(super) fn remember(&mut self, session: u64, how: Over) {
+        if self.over.len() >= OVER_MOST {
+            self.over.pop_front();
+        }
+        self.over.push_back((session, how));
     }
 
     /// A set-up that can't be taken. Under the number of one that is open on the same connection no answer can
@@ -138,19 +181,21 @@
             lane: &lane,
             tenant: &tenant,
             title: &title,
-            cut_off: (now + wait) - ANSWER_MARGIN,
+            cut_off: (now + wait) - ANSWER_MARGIN - self.late,
             home: figures.home,
             copies: figures.copies,
             top: figures.top,
             returned: figures.again,
             length: None,
         };
+        let until = wish.cut_off;
         let held = |handle, at: Rc<str>, playing| Held {
             session,
             handle,
             conn,
             set_up,
             at,
+            until,
             rung: 0,
             shots: 0,
             out: None,
@@ -161,6 +206,17 @@
             if self.by_session.contains_key(&session) {
                 return;
             }
+            // Its end may have been heard before it.
+            let over = self.over.iter().rev().find(|(of, _)| *of == session).map(|(_, how)| *how);
+            match over {
+                Some(Over::AtStreamer(cause::CANCELLED)) => return,
+                Some(Over::AtStreamer(why)) => {
+                    let why = if why == cause::NORMAL { why } else { cause::BROKEN };
+                    return self.release(now, conn, session, why);
+                }
+                Some(Over::ByViewer) => return self.end_at(now, &at.as_str().into(), session),
+                None => {}
+            }
             let Some((at, _)) = self.known.get_key_value(&*at) else {
                 return self.release(now, conn, session, cause::BROKEN);
             };
@@ -203,7 +259,7 @@
         let Some(mut held) = self.remove(id) else { return };
         held.handle.left(&mut self.module);
         if let Some(out) = held.out.take() {
-            let ending = self.give_up_shot(now, id, held.session, &out);
+            let ending = self.give_up(now, id, held.session, &out).0;
             held.handle.ended(&mut self.module, now, ending, true, Load::default());
         }
         self.carry_out(now);
@@ -212,7 +268,7 @@
     /// The viewer ends what plays; it is owed no release.
     pub(super) fn viewer_ends(&mut self, now: Point, id: u32) {
         let Some(held) = self.remove(id) else { return };
-        self.end_at_streamer(now, &held);
+        self.end_at(now, &held.at, held.session);
         held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
         self.carry_out(now);
     }
@@ -222,7 +278,10 @@
         let own = self.conns.contains_key(&conn).then_some(conn);
         let good = self.conns.iter().filter(|(_, conn)| conn.good).max_by_key(|(_, conn)| conn.said);
         match own.or(good.map(|(conn, _)| *conn)) {
-            Some(conn) => self.say(conn, session, Body::release(why)),
+            Some(conn) => {
+                let message = Message { session, body: Body::release(why) };
+                self.effects.push(Effect::Say { conn, message, stood: true });
+            }
             None if self.owed.len() < OWED_MOST => {
                 self.owed.push_back((now + OWED_FOR, Message { session, body: Body::release(why) }));
             }
--- a/crates/lemontide-platform/src/journal.rs
+++ b/crates/lemontide-platform/src/journal.rs
@@ -15,6 +15,9 @@
 const LINE_MOST: usize = 1 << 20;
 /// The service says something every second; two of them missing and a little late is silence.
 const SILENCE: Duration = Duration::from_millis(2200);
+/// On a new connection the first word is missed sooner. Guards against a service that falls silent and is silent on
+/// the next connection, too: what it would have told counts as told 4 s after it fell silent.
+const FIRST_SILENCE: Duration = Duration::from_millis(1300);
 /// So much of a line that makes no sense goes into the log.
 const LOGGED: usize = 200;
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,9 +32,12 @@
     Nothing,
     /// Something was left out, or the line can't be read: ask again.
     Missed,
+    /// An event past the next one, of this number: ask again, once.
+    Gap(u64),
 }
 
-/// Reads one line. On a connection that has told nothing yet a gap is the service's own: there is nothing between.
+/// Reads one line. On a connection that has told nothing yet (`first`), the number of the last event may be ahead of
+/// events that are still on their way.
 pub fn read(line: &str, last: u64, first: bool) -> Heard {
     let Ok(json) = serde_json::from_str::<Json>(line.trim()) else { return Heard::Missed };
     if json.get("hosts").is_none() {
@@ -43,63 +49,92 @@
     }
     match serde_json::from_value::<Event>(json) {
         Ok(event) if event.pos <= last => Heard::Nothing,
-        Ok(event) if event.pos == last + 1 || first => Heard::Next(event),
-        _ => Heard::Missed,
+        Ok(event) if event.pos == last + 1 => Heard::Next(event),
+        // A whole list leaves nothing out, whatever was before it.
+        Ok(event) if event.hosts.full => Heard::Next(event),
+        Ok(event) => Heard::Gap(event.pos),
+        Err(_) => Heard::Missed,
     }
 }
 
+/// What is known of the service, over all its connections.
+struct Reader {
+    last: u64,
+    /// The gap at which the last connection ended.
+    gap: Option<(u64, u64)>,
+    news: mpsc::Sender<Hosts>,
+}
+
 /// Follows until nobody listens any more. `address` changes when the operators move the service.
-pub async fn follow(mut address: watch::Receiver<String>, mut last: u64, news: mpsc::Sender<Hosts>) {
+pub async fn follow(mut address: watch::Receiver<String>, last: u64, news: mpsc::Sender<Hosts>) {
+    let mut reader = Reader { last, gap: None, news };
     loop {
         let at = address.borrow_and_update().clone();
         tokio::select! {
-            gone = session(&at, &mut last, &news) => {
-                if gone {
-                    return;
-                }
-                sleep(REST).await;
-            }
+            () = reader.session(&at) => {}
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
                 }
+                continue;
             }
         }
+        if reader.news.is_closed() {
+            return;
+        }
+        sleep(REST).await;
     }
 }
 
-/// One connection; whether nobody listens any more.
-async fn session(at: &str, last: &mut u64, news: &mpsc::Sender<Hosts>) -> bool {
-    let Ok(Ok(mut socket)) = timeout(DIAL_TIMEOUT, TcpStream::connect(at)).await else {
-        tracing::info!(target: "journal", at, "not reached");
-        return news.is_closed();
-    };
-    let ask = format!("tail {last}\n");
-    if !matches!(timeout(DIAL_TIMEOUT, socket.write_all(ask.as_bytes())).await, Ok(Ok(()))) {
-        return news.is_closed();
-    }
-    let mut lines = Framed::new(socket, LinesCodec::new_with_max_length(LINE_MOST));
-    let mut first = true;
-    loop {
-        // A line without its end, a broken connection and silence all mean the same: ask again.
-        let Ok(Some(Ok(line))) = timeout(SILENCE, lines.next()).await else {
-            tracing::info!(target: "journal", at, last = *last, "broke off or fell silent");
-            return news.is_closed();
+impl Reader {
+    /// One connection, until it is of no more use. It may be dropped at any await: an event counts as taken in the
+    /// moment in which it is handed over. Guards against a service that moves while the loop has no room for an event.
+    async fn session(&mut self, at: &str) {
+        let Ok(Ok(mut socket)) = timeout(DIAL_TIMEOUT, TcpStream::connect(at)).await else {
+            tracing::info!(target: "journal", at, "not reached");
+            return;
         };
-        match read(&line, *last, first) {
-            Heard::Next(event) => {
-                *last = event.pos;
-                if news.send(event.hosts).await.is_err() {
-                    return true;
+        let ask = format!("tail {}\n", self.last);
+        if !matches!(timeout(DIAL_TIMEOUT, socket.write_all(ask.as_bytes())).await, Ok(Ok(()))) {
+            return;
+        }
+        let mut lines = Framed::new(socket, LinesCodec::new_with_max_length(LINE_MOST));
+        let mut first = true;
+        loop {
+            // A line without its end, a broken connection and silence all mean the same: ask again.
+            let silence = if first { FIRST_SILENCE } else { SILENCE };
+            let Ok(Some(Ok(line))) = timeout(silence, lines.next()).await else {
+                tracing::info!(target: "journal", at, last = self.last, "broke off or fell silent");
+                return;
+            };
+            let heard = match read(&line, self.last, first) {
+                Heard::Gap(pos) => self.believe(&line, pos),
+                heard => heard,
+            };
+            match heard {
+                Heard::Next(event) => {
+                    let Ok(place) = self.news.reserve().await else { return };
+                    self.last = event.pos;
+                    place.send(event.hosts);
+                }
+                Heard::Nothing => {}
+                Heard::Missed | Heard::Gap(_) => {
+                    let line: String = line.chars().take(LOGGED).collect();
+                    tracing::info!(target: "journal", at, last = self.last, line, "left something out");
+                    return;
                 }
             }
-            Heard::Nothing => {}
-            Heard::Missed => {
-                let line: String = line.chars().take(LOGGED).collect();
-                tracing::info!(target: "journal", at, last = *last, line, "left something out");
-                return news.is_closed();
-            }
+            first = false;
+        }
+    }
+
+    /// A gap is believed where the service tells it twice. Guards against one spoilt connection after which what was
+    /// left out would never be asked for, and against asking for ever for what the service no longer has.
+    fn believe(&mut self, line: &str, pos: u64) -> Heard {
+        let told = Some((self.last, pos));
+        if std::mem::replace(&mut self.gap, told) != told {
+            return Heard::Gap(pos);
         }
-        first = false;
+        serde_json::from_str(line.trim()).map_or(Heard::Missed, Heard::Next)
     }
 }
--- /dev/null
+++ b/crates/lemontide-platform/src/permit.rs
@@ -0,0 +1,51 @@
+//! Whether something may still be begun on a socket. The desk, which may take it back, and the task that writes it
+//! share one permit, so that there is one place in which it is decided: whoever comes first.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+
+const OPEN: u8 = 0;
+const BEGUN: u8 = 1;
+const WITHDRAWN: u8 = 2;
+
+/// Shared by its clones; equal only to them.
+#[derive(Clone, Debug, Default)]
+pub struct Permit(Arc<AtomicU8>);
+
+impl Permit {
+    pub fn new() -> Permit {
+        Permit::default()
+    }
+
+    /// The writer's question in the moment of writing: false where it was taken back, and for good.
+    pub fn begin(&self) -> bool {
+        self.settle(BEGUN)
+    }
+
+    /// Takes it back. True where it had not begun and now never will: proof that nothing of it was written.
+    pub fn withdraw(&self) -> bool {
+        self.settle(WITHDRAWN)
+    }
+
+    /// The socket took nothing after all: it has not begun.
+    pub fn undo(&self) {
+        let _ = self.0.compare_exchange(BEGUN, OPEN, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    pub fn has_begun(&self) -> bool {
+        self.0.load(Ordering::Acquire) == BEGUN
+    }
+
+    fn settle(&self, as_what: u8) -> bool {
+        match self.0.compare_exchange(OPEN, as_what, Ordering::AcqRel, Ordering::Acquire) {
+            Ok(_) => true,
+            Err(already) => already == as_what,
+        }
+    }
+}
+
+impl PartialEq for Permit {
+    fn eq(&self, other: &Permit) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -1,10 +1,11 @@
 //! Ties the controller together on the platform: sockets, signals and the list come to one loop that owns the desk,
 //! on one thread; what the desk wants done goes out to the tasks that own the sockets.
 
-use crate::codec::Message;
 use crate::config::{Config, Environment, Hosts};
-use crate::desk::{Desk, Effect, Terms};
+use crate::desk::{Desk, Effect, Order, Terms};
+use crate::viewers::{Said, Word};
 use crate::{journal, streamers, viewers};
+use futures::FutureExt;
 use lemontide::clock::{Point, Span};
 use lemontide::interface::{number, text, Sheet};
 use lemontide_front::core::Queued;
@@ -13,9 +14,10 @@
 use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 
 /// Reports that wait for the loop; a connection whose report finds no room is not read on until it does.
@@ -38,8 +40,16 @@
 /// What was said last gets so long to leave. Symptom: the last answer of a stopping process is lost, as the task that
 /// writes it ends with the process.
 const LAST_WORDS: Span = Span::of_millis(300);
-/// And it never outlasts this: by then the longest cut-off is over.
-const STOP_MOST: Span = Span::of_millis(8000);
+/// A turn of the loop that comes so long after the last one first lets the sockets report what they hold.
+const SETTLE_AFTER: Span = Span::of_millis(30);
+/// A timer that fires so late says that this process stood still.
+const STOOD_STILL: Span = Span::of_millis(30);
+/// After an accept that found no descriptor.
+const ACCEPT_REST: Duration = Duration::from_millis(5);
+/// A configuration that can't be read is read again after so long, so many times. Guards against one that is being
+/// written when SIGHUP comes: nobody would tell of the new list otherwise.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+const READ_AGAIN_MOST: u32 = 10;
 
 /// What the desk itself needs to know of the settings; an error names the one that can't be used.
 pub fn terms(sheet: &Sheet, settings: &serde_json::Value, sockets: usize) -> Result<Terms, String> {
@@ -80,14 +90,16 @@
     })
 }
 
-/// Where batches for a streamer's connection go, and the number of its dial.
-type Orders = (u64, mpsc::Sender<Vec<Queued<Message>>>);
+/// A streamer's connection: the number of its dial, where batches for it go, and what closes it when dropped.
+type Orders = (u64, mpsc::Sender<Vec<Queued<Order>>>, oneshot::Sender<()>);
 
 /// The tasks that own the sockets, by what the desk calls them.
 struct Sockets {
     clock: Clock,
     dial_timeout: Duration,
-    viewers: HashMap<u64, mpsc::Sender<Message>>,
+    viewers: HashMap<u64, mpsc::Sender<Word>>,
+    /// The tasks of viewers' connections: they outlast the loop until the last answer is out.
+    writing: JoinSet<()>,
     links: HashMap<u64, Orders>,
     from_viewers: mpsc::Sender<viewers::Report>,
     from_streamers: mpsc::Sender<streamers::Report>,
@@ -99,11 +111,26 @@
         while !desk.effects.is_empty() {
             for effect in std::mem::take(&mut desk.effects) {
                 match effect {
-                    Effect::Say { conn, message } => {
-                        let say = self.viewers.get(&conn);
-                        if say.is_some_and(|say| say.try_send(message).is_err()) {
+                    Effect::Say { conn, message, stood } => {
+                        let said = Said { message, stood };
+                        let full = match self.viewers.get(&conn) {
+                            None => false,
+                            Some(words) => match words.try_send(Word::Say(said.clone())) {
+                                Ok(()) => continue,
+                                Err(e) => matches!(e, mpsc::error::TrySendError::Full(_)),
+                            },
+                        };
+                        if full {
                             // It does not read what is said to it.
-                            desk.part(now, conn);
+                            self.viewers.remove(&conn);
+                        }
+                        desk.viewer_gone(now, conn);
+                        desk.unsaid(now, vec![said]);
+                    }
+                    Effect::Retire { conn, heard } => {
+                        // One that does not read is not idle, and ends by itself.
+                        if let Some(words) = self.viewers.get(&conn) {
+                            let _ = words.try_send(Word::Retire { heard });
                         }
                     }
                     Effect::Part { conn } => {
@@ -111,9 +138,11 @@
                     }
                     Effect::Dial { link, dial, address } => {
                         let (orders, ordered) = mpsc::channel(ORDERS_MOST);
-                        self.links.insert(link, (dial, orders));
+                        let (stays, hang_up) = oneshot::channel();
+                        self.links.insert(link, (dial, orders, stays));
                         let to = streamers::Dial { link, dial, address, timeout: self.dial_timeout };
-                        tokio::spawn(streamers::run(self.clock, to, ordered, self.from_streamers.clone()));
+                        let reports = self.from_streamers.clone();
+                        tokio::spawn(streamers::run(self.clock, to, ordered, hang_up, reports));
                     }
                     Effect::Write { link, dial, orders } => {
                         let wire = self.links.get(&link).filter(|wire| wire.0 == dial);
@@ -133,13 +162,21 @@
     fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
         match report {
             viewers::Report::Said { conn, message } => desk.viewer_said(now, conn, message),
-            viewers::Report::Gone { conn } => {
+            viewers::Report::Gone { conn, unsaid } => {
                 self.viewers.remove(&conn);
                 desk.viewer_gone(now, conn);
+                desk.unsaid(now, unsaid);
             }
         }
     }
 
+    fn viewer_comes(&mut self, now: Point, desk: &mut Desk, conn: u64, socket: TcpStream) {
+        let (words, said) = mpsc::channel(SAY_MOST);
+        self.viewers.insert(conn, words);
+        desk.viewer_up(now, conn);
+        self.writing.spawn(viewers::run(conn, socket, said, self.from_viewers.clone()));
+    }
+
     fn of_streamer(&mut self, now: Point, desk: &mut Desk, report: streamers::Report) {
         match report {
             streamers::Report::Linked { link, dial } => desk.linked(now, link, dial),
@@ -168,6 +205,8 @@
     let sheet = lemontide_sheet::sheet(&config.settings).map_err(unusable)?;
     let terms = terms(&sheet, &config.settings, config.limits.sockets).map_err(unusable)?;
     let viewers_most = config.limits.sockets.saturating_sub(OWN_SOCKETS + terms.links_most).max(1);
+    // By then every set-up that was taken before the last call has its answer.
+    let stop_most = terms.lanes.iter().map(|lane| lane.1).fold(STOP_LEAST, Span::max) + STOP_LEAST;
     let (from_viewers, mut viewers_said) = mpsc::channel(REPORTS_MOST);
     let (from_streamers, mut streamers_said) = mpsc::channel(REPORTS_MOST);
     let (news, mut list) = mpsc::channel::<Hosts>(REPORTS_MOST);
@@ -175,6 +214,7 @@
         clock,
         dial_timeout: Duration::from_secs_f64(terms.dial_timeout.seconds()),
         viewers: HashMap::new(),
+        writing: JoinSet::new(),
         links: HashMap::new(),
         from_viewers,
         from_streamers,
@@ -188,83 +228,116 @@
     tracing::debug!(target: "config", settings = %config.settings, known = ?config.known);
     tracing::info!(listen = %config.listen, streamers = desk.streamers(), "serves");
     let mut next_conn = 0;
+    // Accepted, and waiting for another to make room.
+    let mut doorway: Option<TcpStream> = None;
+    // No more are accepted until then.
+    let mut no_descriptor: Option<Instant> = None;
+    // The configuration is to be read again then, and so many more times where it can't be read.
+    let mut read_again: Option<(Instant, u32)> = None;
     let mut stops: Option<Point> = None;
     // Since when nothing is in hand.
     let mut empty: Option<Point> = None;
     loop {
         sockets.carry_out(now(), &mut desk);
+        while sockets.writing.try_join_next().is_some() {}
         empty = (desk.in_hand() == 0).then(|| empty.unwrap_or(now()));
         if let Some(since) = stops {
             let gone = now() - since;
             let said = empty.is_some_and(|since| now() - since >= LAST_WORDS);
-            if gone >= STOP_MOST || gone >= STOP_LEAST && said {
+            if gone >= STOP_LEAST && said || gone >= stop_most && desk.open() == 0 {
                 break;
             }
         }
+        let awake = now();
         let due = Instant::from_std(clock.instant(lemontide_front::core::seconds(desk.next())));
+        let again = read_again.map_or(due, |(at, _)| at.min(due));
+        let open = doorway.is_none() && no_descriptor.is_none_or(|until| Instant::now() >= until);
+        let (mut said, mut told, mut hosts, mut accepted) = (None, None, None, None);
         tokio::select! {
             biased;
-            Some(report) = streamers_said.recv() => {
-                sockets.of_streamer(now(), &mut desk, report);
-                for _ in 0..ROUND {
-                    let Ok(report) = streamers_said.try_recv() else { break };
-                    sockets.of_streamer(now(), &mut desk, report);
-                }
-            }
-            Some(hosts) = list.recv() => desk.learn(now(), &hosts),
-            () = sleep_until(due) => {}
-            Some(report) = viewers_said.recv() => {
-                sockets.of_viewer(now(), &mut desk, report);
-                for _ in 0..ROUND {
-                    let Ok(report) = viewers_said.try_recv() else { break };
-                    sockets.of_viewer(now(), &mut desk, report);
-                }
-            }
-            accepted = listener.accept() => {
-                match accepted {
-                    Ok((socket, _)) => {
-                        if sockets.viewers.len() >= viewers_most {
-                            if let Some(conn) = desk.spare() {
-                                desk.part(now(), conn);
-                            }
-                        }
-                        next_conn += 1;
-                        let (say, said) = mpsc::channel(SAY_MOST);
-                        sockets.viewers.insert(next_conn, say);
-                        desk.viewer_up(now(), next_conn);
-                        tokio::spawn(viewers::run(next_conn, socket, said, sockets.from_viewers.clone()));
-                    }
-                    Err(e) => {
-                        // Out of descriptors: one that is idle makes room, and others get time to end.
-                        tracing::warn!(error = %e, "can't accept");
-                        if let Some(conn) = desk.spare() {
-                            desk.part(now(), conn);
-                        }
-                        tokio::time::sleep(Duration::from_millis(5)).await;
-                    }
-                }
-            }
-            Some(()) = hang_up.recv() => {
-                if let Some(file) = &file {
-                    match Config::read(file) {
-                        Ok(again) => {
-                            tracing::info!(journal = again.journal, "configuration read again");
-                            let _ = address.send(again.journal);
-                        }
-                        Err(e) => tracing::error!(error = e, "the configuration stays as it was"),
-                    }
-                }
-            }
             Some(()) = terminate.recv() => {
                 tracing::info!(in_hand = desk.in_hand(), "stops");
                 stops.get_or_insert(now());
                 desk.stop(now());
             }
+            Some(()) = hang_up.recv() => read_again = Some((Instant::now(), READ_AGAIN_MOST)),
+            Some(report) = viewers_said.recv() => said = Some(report),
+            Some(report) = streamers_said.recv() => told = Some(report),
+            Some(news) = list.recv() => hosts = Some(news),
+            came = listener.accept(), if open => accepted = Some(came),
+            () = sleep_until(again) => {}
+        }
+        // Where this process stood still, what came meanwhile is heard before anything is decided: a viewer that
+        // left, the end of an attempt, a drain.
+        let late = now() - desk.next().max(awake);
+        if now() - awake >= SETTLE_AFTER {
+            // The first turn of the runtime sees what the sockets hold, the second lets their tasks report it.
+            tokio::task::yield_now().await;
+            tokio::task::yield_now().await;
+        }
+        desk.stood_still(if late >= STOOD_STILL { late } else { Span::ZERO });
+        // Each source has its share of every turn, so that a flood from one keeps none of the others waiting.
+        // Viewers come first, as they may leave what would else be sent on; the timer comes last, as what it would
+        // call late may have been told.
+        for _ in 0..ROUND {
+            let Some(report) = said.take().or_else(|| viewers_said.try_recv().ok()) else { break };
+            sockets.of_viewer(now(), &mut desk, report);
         }
+        for _ in 0..ROUND {
+            let Some(news) = hosts.take().or_else(|| list.try_recv().ok()) else { break };
+            desk.learn(now(), &news);
+        }
+        for _ in 0..ROUND {
+            let Some(report) = told.take().or_else(|| streamers_said.try_recv().ok()) else { break };
+            sockets.of_streamer(now(), &mut desk, report);
+        }
+        desk.stood_still(Span::ZERO);
         if now() >= desk.next() {
             desk.tick(now());
         }
+        for _ in 0..ROUND {
+            if let Some(socket) = doorway.take() {
+                if sockets.writing.len() >= viewers_most {
+                    // Nobody is turned away while another has room to make, and nobody who is owed an answer is cut.
+                    desk.make_room();
+                    doorway = Some(socket);
+                    break;
+                }
+                next_conn += 1;
+                sockets.viewer_comes(now(), &mut desk, next_conn, socket);
+            }
+            match accepted.take().or_else(|| listener.accept().now_or_never()) {
+                Some(Ok((socket, _))) => doorway = Some(socket),
+                Some(Err(e)) => {
+                    // Out of descriptors: one that is idle makes room, and others get time to end.
+                    tracing::warn!(error = %e, "can't accept");
+                    desk.make_room();
+                    no_descriptor = Some(Instant::now() + ACCEPT_REST);
+                    break;
+                }
+                None => break,
+            }
+        }
+        if let (Some((at, left)), Some(file)) = (read_again, &file) {
+            if Instant::now() >= at {
+                read_again = match Config::read(file) {
+                    Ok(again) => {
+                        tracing::info!(journal = again.journal, "configuration read again");
+                        let _ = address.send(again.journal);
+                        None
+                    }
+                    Err(e) => {
+                        tracing::error!(error = e, "the configuration stays as it was");
+                        (left > 0).then(|| (Instant::now() + READ_AGAIN, left - 1))
+                    }
+                };
+            }
+        }
     }
     journal.abort();
+    // Every connection says what it has still to say, and closes.
+    sockets.viewers.clear();
+    let all_said = async { while sockets.writing.join_next().await.is_some() {} };
+    let _ = tokio::time::timeout(viewers::WRITE_TIMEOUT, all_said).await;
     Ok(())
 }
--- /dev/null
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -0,0 +1,133 @@
+//! Two events that cross, in the desk: every pair in an order that is forced, in virtual time.
+
+mod common;
+
+use common::{entry, wish, World, STREAMERS, VIEWERS};
+use lemontide_platform::codec::{cause, Body, SetUp};
+use lemontide_platform::config::Hosts;
+use lemontide_platform::desk::Loss;
+
+/// All of the session's set-ups and releases as they were written: true for a set-up.
+fn order_of(world: &World, session: u64) -> Vec<bool> {
+    let of = world.written.iter().filter(|(_, message)| message.session == session);
+    of.filter_map(|(_, message)| match message.body {
+        Body::SetUp(_) => Some(true),
+        Body::Release { .. } => Some(false),
+        _ => None,
+    })
+    .collect()
+}
+
+/// A world in which connections to all streamers are up and one more set-up waits in a batch on each.
+fn with_slow_connections(world: &mut World) {
+    for at in 0..STREAMERS {
+        for _ in 0..40 {
+            if world.address.values().any(|address| *address == entry(at, "").addr) {
+                break;
+            }
+            world.playing("free");
+        }
+    }
+    world.slow = world.dials.keys().copied().collect();
+}
+
+#[test]
+fn what_waits_in_a_batch_is_not_written_once_its_viewer_left() {
+    for closes in [true, false] {
+        let mut world = World::new();
+        with_slow_connections(&mut world);
+        let session = world.ask("paid");
+        assert!(!world.batches.is_empty(), "it waits to be written");
+        match closes {
+            true => world.desk.viewer_gone(world.now, VIEWERS),
+            false => world.say(VIEWERS, session, Body::release(cause::NORMAL)),
+        }
+        world.perform();
+        world.catch_up();
+        assert!(order_of(&world, session).is_empty(), "nothing of it left, and nothing has to be given up");
+    }
+}
+
+#[test]
+fn what_waits_in_a_batch_is_not_written_once_its_streamer_drains() {
+    let mut world = World::new();
+    with_slow_connections(&mut world);
+    let session = world.ask("paid");
+    let servers = (0..STREAMERS).map(|at| entry(at, "terminating")).collect();
+    world.learn(&Hosts { full: false, servers });
+    assert_eq!(world.answered(session), Some(cause::TURNED_BACK), "it provably never ran");
+    world.catch_up();
+    assert!(order_of(&world, session).is_empty());
+}
+
+/// A paid set-up whose connection broke before it was written may be sent again; one that was written may not.
+#[test]
+fn a_connection_lost_under_a_batch_proves_what_was_not_written() {
+    for written in [false, true] {
+        let mut world = World::new();
+        with_slow_connections(&mut world);
+        if written {
+            world.slow.clear();
+        }
+        let session = world.ask("paid");
+        let link = match world.batches.last() {
+            Some(batch) => batch.0,
+            None => world.shot(session).expect("it was written").0,
+        };
+        world.batches.clear();
+        world.slow.clear();
+        world.loses(link, Loss::Broke);
+        let failed = written.then_some(cause::BROKEN);
+        assert_eq!((world.answered(session), world.shots(session)), (failed, 1), "written: {written}");
+    }
+}
+
+/// The word that gives up an attempt waits behind a batch; the next attempt does not overtake it.
+#[test]
+fn the_next_attempt_leaves_only_after_the_end_of_the_last_is_written() {
+    let mut world = World::new();
+    let session = world.ask("free");
+    let (link, _) = world.shot(session).expect("it was sent");
+    // Another set-up on the same connection is being written when the first is given up.
+    world.slow = [link].into();
+    let title = SetUp { title: "t".into(), ..wish("free") };
+    for _ in 0..40 {
+        world.ask_on(VIEWERS, title.clone());
+        if !world.batches.is_empty() {
+            break;
+        }
+    }
+    assert!(!world.batches.is_empty(), "a batch is being written there");
+    world.pass(0.46);
+    assert_eq!(order_of(&world, session), [true], "given up, but nobody can know it yet");
+    world.catch_up();
+    assert_eq!(order_of(&world, session), [true, false, true]);
+}
+
+/// A connection that takes no word is closed, and the next attempt leaves after the close.
+#[test]
+fn the_next_attempt_leaves_only_after_the_connection_of_the_last_is_closed() {
+    let mut world = World::new();
+    let session = world.ask("free");
+    let (link, _) = world.shot(session).expect("it was sent");
+    world.late_close = true;
+    let at: usize = world.address[&link][10..].parse::<usize>().expect("a port") - 9000;
+    let mut moved = entry(at, "in_service");
+    moved.addr = "127.0.0.1:9999".into();
+    world.news(moved);
+    assert_eq!((world.hung.clone(), order_of(&world, session)), (vec![link], vec![true]));
+    world.close_all();
+    assert_eq!(order_of(&world, session), [true, true], "the close gave the first one up");
+}
+
+/// Whatever never closes must not hold a request for ever.
+#[test]
+fn a_connection_that_is_never_closed_does_not_keep_a_request() {
+    let mut world = World::new();
+    let session = world.ask("free");
+    let (link, _) = world.shot(session).expect("it was sent");
+    world.late_close = true;
+    world.slow = [link].into();
+    world.pass(3.0);
+    assert!(world.answered(session).is_some(), "one answer by its deadline");
+}
