--- /dev/null
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -0,0 +1,497 @@
+//! Two events that cross in the running process, the crossing forced: a process that is stopped by a signal finds both
+//! on its sockets at once when it goes on.
+
+use bytes::Bytes;
+use lemontide::interface::Load;
+use lemontide_platform::codec::{cause, Body, Figures, Message, SetUp};
+use lemontide_standin::platform::{settings, Attended, End, Journal, SOON};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value as Json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// A streamer in the test: every connection is attended to, and what comes on any of them comes here.
+struct Streamer {
+    listener: TcpListener,
+    links: Vec<Attended>,
+}
+
+/// A controller as a process, with the ends around it.
+struct Served {
+    process: Child,
+    listen: SocketAddr,
+    journal: Journal,
+    streamers: Vec<Streamer>,
+    config: Json,
+    folder: tempfile::TempDir,
+}
+
+impl Served {
+    /// Starts one with so many streamers; `change` may change its configuration.
+    async fn start(streamers: usize, change: impl Fn(&mut Json)) -> Served {
+        let folder = tempfile::tempdir().expect("a folder");
+        let journal = Journal::start().await.expect("a port");
+        let mut all = Vec::new();
+        let mut servers = Vec::new();
+        for at in 0..streamers {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+            servers.push(server(at, &listener, "in_service"));
+            all.push(Streamer { listener, links: Vec::new() });
+        }
+        let free = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let listen = free.local_addr().expect("it is bound");
+        drop(free);
+        let mut settings = settings();
+        settings["policy_limits"]["try_limit"] = json!(4);
+        let mut config = json!({"listen": listen, "seed": "1", "settings": settings,
+            "limits": {"sockets": 1024}, "journal": journal.address().expect("it is bound").to_string(),
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"full": true, "servers": servers}}]}});
+        change(&mut config);
+        let process = spawn(folder.path(), &config, listen);
+        Served { process, listen, journal, streamers: all, config, folder }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.process.id().expect("it runs");
+        kill(Pid::from_raw(pid as i32), signal).expect("sent");
+    }
+
+    /// Stops the process until `go_on`, so that it finds at once whatever comes in between.
+    async fn hold(&self) {
+        self.signal(Signal::SIGSTOP);
+        // The signal is sent; the process stands still once the kernel says so.
+        let pid = self.process.id().expect("it runs");
+        let stands =
+            || std::fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|s| s.contains(") T "));
+        let held = async {
+            while !stands() {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(SOON, held).await.expect("it stands still");
+    }
+
+    fn go_on(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    async fn viewer(&self) -> End {
+        End::viewer(self.listen).await.expect("it listens")
+    }
+
+    /// The next message that is no test from any streamer, with the streamer and its connection.
+    async fn next(&mut self) -> Option<(usize, usize, Message)> {
+        self.next_within(SOON).await
+    }
+
+    async fn next_within(&mut self, within: Duration) -> Option<(usize, usize, Message)> {
+        let until = Instant::now() + within;
+        loop {
+            for (at, streamer) in self.streamers.iter_mut().enumerate() {
+                let accepted = timeout(Duration::from_millis(1), streamer.listener.accept());
+                if let Ok(Ok((socket, _))) = accepted.await {
+                    streamer.links.push(End::of(socket).attend());
+                }
+                for (link, attended) in streamer.links.iter_mut().enumerate() {
+                    if let Some(message) = attended.try_news() {
+                        return Some((at, link, message));
+                    }
+                }
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+        }
+    }
+
+    async fn say(&mut self, at: (usize, usize), session: u64, body: Body) {
+        self.streamers[at.0].links[at.1].say(session, body).await.expect("sent");
+    }
+
+    async fn ends(mut self) -> std::process::ExitStatus {
+        timeout(SOON * 2, self.process.wait()).await.expect("it ends").expect("waited for")
+    }
+}
+
+fn server(at: usize, listener: &TcpListener, state: &str) -> Json {
+    let addr = listener.local_addr().expect("it is bound").to_string();
+    json!({"id": format!("s{at}"), "addr": addr, "zone": "a", "kind": "std", "cell": 0, "state": state,
+        "weight": 1, "started_ms": 0})
+}
+
+fn spawn(folder: &std::path::Path, config: &Json, listen: SocketAddr) -> Child {
+    let file = folder.join("config.json");
+    std::fs::write(&file, config.to_string()).expect("written");
+    let most = config["limits"]["sockets"].as_u64().expect("a number");
+    // The descriptors are the platform's: no more than it says.
+    Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("ulimit -n {most}; exec {} serve", env!("CARGO_BIN_EXE_lemontide")))
+        .env("RELAY_CONFIG", &file)
+        .env("RELAY_LISTEN", listen.to_string())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("it starts")
+}
+
+fn set_up(lane: &str, at: Option<&str>) -> Body {
+    let at = at.map(str::to_owned);
+    Body::SetUp(SetUp {
+        lane: lane.into(),
+        tenant: "acme".into(),
+        title: "t".into(),
+        wait_ms: 60_000,
+        figures: Some(Figures { home: 0, copies: 1, top: 1, again: false, at }),
+        description: Bytes::from_static(b"asked"),
+        ..SetUp::default()
+    })
+}
+
+fn answer() -> Body {
+    Body::Answer { description: Bytes::from_static(b"made"), load: Load::default() }
+}
+
+/// The controller passes a test on this connection: all that came on it before is heard.
+async fn passes(viewer: &mut End) {
+    viewer.say(u64::MAX, Body::Test).await.expect("sent");
+    loop {
+        let heard = viewer.hear().await.expect("told");
+        if heard.body == (Body::Tested { passed: true }) {
+            return;
+        }
+    }
+}
+
+/// A thousand requests whose streamers send them back while the process stands still, for longer than the tenth of a
+/// second after which an attempt counts; half of their viewers have closed or cancelled by then. None of theirs may
+/// begin, all of the others do.
+#[tokio::test]
+async fn no_attempt_begins_for_a_viewer_that_has_gone() {
+    const ROUNDS: u64 = 20;
+    const EACH: u64 = 50;
+    let mut served = Served::start(3, |_| {}).await;
+    let mut begun_after = 0;
+    let (mut left, mut stayed) = (0, 0);
+    for round in 0..ROUNDS {
+        let mut viewers: BTreeMap<u64, End> = BTreeMap::new();
+        let mut out: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+        for n in 1..=EACH {
+            let mut viewer = served.viewer().await;
+            let session = round * EACH + n;
+            viewer.say(session, set_up(if n % 2 == 0 { "free" } else { "paid" }, None)).await.expect("sent");
+            viewers.insert(session, viewer);
+        }
+        while out.len() < EACH as usize {
+            let (at, link, message) = served.next().await.expect("sent on");
+            out.insert(message.session, (at, link));
+        }
+        served.hold().await;
+        let mut gone = BTreeSet::new();
+        for session in out.keys().copied() {
+            match session % 4 {
+                0 => drop(viewers.remove(&session)),
+                1 => {
+                    let viewer = viewers.get_mut(&session).expect("it is there");
+                    viewer.say(session, Body::release(cause::NORMAL)).await.expect("sent");
+                }
+                _ => continue,
+            }
+            gone.insert(session);
+        }
+        for (session, at) in &out {
+            served.say(*at, *session, Body::release(cause::MOOT)).await;
+        }
+        sleep(Duration::from_millis(150)).await;
+        served.go_on();
+        let mut again = BTreeSet::new();
+        while again.len() < (EACH as usize - gone.len()) {
+            let (at, link, message) = served.next().await.expect("who stayed is sent elsewhere");
+            match message.body {
+                Body::SetUp(_) if gone.contains(&message.session) => begun_after += 1,
+                Body::SetUp(_) => {
+                    again.insert(message.session);
+                    served.say((at, link), message.session, answer()).await;
+                    served.say((at, link), message.session, Body::release(cause::NORMAL)).await;
+                }
+                _ => {}
+            }
+        }
+        while let Some((_, _, message)) = served.next_within(Duration::from_millis(20)).await {
+            begun_after +=
+                usize::from(matches!(message.body, Body::SetUp(_)) && gone.contains(&message.session));
+        }
+        left += gone.len();
+        stayed += again.len();
+    }
+    println!("{left} viewers left, {stayed} stayed; attempts begun for those who had left: {begun_after}");
+    assert_eq!(begun_after, 0);
+}
+
+/// A set-up that comes on the connection that has been idle for longest, in the moment in which another needs its
+/// place: it was closed with the set-up unread, or its report was dropped.
+#[tokio::test]
+async fn a_set_up_that_crosses_an_idle_close_is_taken() {
+    // 96 descriptors: 96 - 24 - 32 are the viewers'.
+    let mut served = Served::start(1, |config| config["limits"]["sockets"] = json!(96)).await;
+    let mut viewers = Vec::new();
+    for _ in 0..40 {
+        let mut viewer = served.viewer().await;
+        passes(&mut viewer).await;
+        viewers.push(viewer);
+    }
+    for session in 1..=5 {
+        served.hold().await;
+        viewers[0].say(session, set_up("free", None)).await.expect("sent");
+        let mut newcomer = served.viewer().await;
+        newcomer.say(u64::MAX, Body::Test).await.expect("sent");
+        served.go_on();
+        let (at, link, message) = served.next().await.expect("sent on");
+        assert_eq!(message.session, session);
+        newcomer.hear().await.expect("another made room");
+        served.say((at, link), session, answer()).await;
+        assert_eq!(viewers[0].hear().await.expect("answered where it asked").body, answer());
+        served.say((at, link), session, Body::release(cause::NORMAL)).await;
+        viewers[0].hear().await.expect("released");
+        viewers.remove(1);
+        let owed = viewers.remove(0);
+        viewers.push(newcomer);
+        viewers.push(owed);
+        for viewer in &mut viewers[..] {
+            passes(viewer).await;
+        }
+    }
+}
+
+/// Idle viewers fill whatever descriptors they get while the list can't be reached: the list has its own, and set-ups
+/// are sent on.
+#[tokio::test]
+async fn idle_viewers_keep_neither_the_list_nor_set_ups_from_their_descriptors() {
+    let away = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let at = away.local_addr().expect("it is bound");
+    drop(away);
+    let mut served = Served::start(1, |config| {
+        config["limits"]["sockets"] = json!(96);
+        config["journal"] = json!(at.to_string());
+    })
+    .await;
+    let mut idle = Vec::new();
+    for n in 0..160 {
+        let mut viewer = served.viewer().await;
+        // Some say a word and nothing more, and some nothing at all.
+        if n % 2 == 0 {
+            passes(&mut viewer).await;
+        }
+        idle.push(viewer);
+    }
+    let mut asks = served.viewer().await;
+    asks.say(7, set_up("free", None)).await.expect("sent");
+    let (at_streamer, link, message) = served.next().await.expect("sent on");
+    assert_eq!(message.session, 7);
+    served.say((at_streamer, link), 7, answer()).await;
+    assert_eq!(asks.hear().await.expect("answered").body, answer());
+    let back = Journal::listen(at).await.expect("the port is free");
+    let (mut reader, last) = back.reader().await.expect("it asks though viewers fill the rest");
+    assert_eq!(last, 1);
+    let drains = server(0, &served.streamers[0].listener, "terminating");
+    let event = json!({"pos": 2, "hosts": {"full": false, "servers": [drains]}});
+    reader.write_all(format!("{event}\n").as_bytes()).await.expect("sent");
+    let obeyed = async {
+        for session in 100.. {
+            asks.say(session, set_up("free", None)).await.expect("sent");
+            tokio::select! {
+                told = asks.hear() => {
+                    assert!(matches!(told.expect("answered").body, Body::Release { .. }));
+                    return;
+                }
+                sent = served.next() => {
+                    let (at, link, message) = sent.expect("sent on");
+                    served.say((at, link), message.session, answer()).await;
+                }
+            }
+            asks.hear().await.expect("answered");
+        }
+    };
+    timeout(SOON, obeyed).await.expect("the drain is obeyed");
+    assert!(served.process.try_wait().expect("asked").is_none(), "it runs on");
+}
+
+/// Viewers that say something without end kept the loop from everything that its `select!` names after them.
+#[tokio::test]
+async fn a_flood_keeps_neither_signals_nor_the_list_nor_others_waiting() {
+    let served = Served::start(1, |_| {}).await;
+    let (stop, _) = tokio::sync::broadcast::channel::<()>(1);
+    let mut floods = Vec::new();
+    for _ in 0..8 {
+        let socket = tokio::net::TcpStream::connect(served.listen);
+        let socket = match socket.await {
+            Ok(socket) => socket,
+            Err(_) => End::viewer(served.listen).await.expect("it listens").into_socket(),
+        };
+        let mut stopped = stop.subscribe();
+        let (mut read, mut write) = socket.into_split();
+        floods.push(tokio::spawn(async move {
+            // A test that wants an answer, over and over.
+            let test = [&[0, 13, 52][..], &[0, 0, 0, 0, 0, 0, 0, 9], &[92, 0, 1, 0]].concat().repeat(500);
+            let mut sink = tokio::io::sink();
+            tokio::select! {
+                _ = tokio::io::copy(&mut read, &mut sink) => {}
+                () = async { while write.write_all(&test).await.is_ok() {} } => {}
+                _ = stopped.recv() => {}
+            }
+        }));
+    }
+    let mut other = served.viewer().await;
+    passes(&mut other).await;
+    let moved = Journal::start().await.expect("a port");
+    let mut config = served.config.clone();
+    config["journal"] = json!(moved.address().expect("it is bound").to_string());
+    std::fs::write(served.folder.path().join("config.json"), config.to_string()).expect("written");
+    served.signal(Signal::SIGHUP);
+    moved.reader().await.expect("it asks at the new address");
+    served.signal(Signal::SIGTERM);
+    assert!(served.ends().await.success());
+    let _ = stop.send(());
+}
+
+/// The end of what stood, told in the moment in which its viewer's connection closes: it was written there and lost.
+#[tokio::test]
+async fn a_release_that_crosses_a_close_goes_to_another_connection() {
+    let mut served = Served::start(1, |_| {}).await;
+    let (mut first, mut other) = (served.viewer().await, served.viewer().await);
+    let mut at = (0, 0);
+    for (session, viewer) in [(1, &mut first), (2, &mut other)] {
+        viewer.say(session, set_up("free", None)).await.expect("sent");
+        let (streamer, link, message) = served.next().await.expect("sent on");
+        assert_eq!(message.session, session);
+        at = (streamer, link);
+        served.say(at, session, answer()).await;
+        assert_eq!(viewer.hear().await.expect("answered").body, answer());
+    }
+    served.hold().await;
+    drop(first);
+    served.say(at, 1, Body::release(cause::NORMAL)).await;
+    sleep(Duration::from_millis(150)).await;
+    served.go_on();
+    let told = other.hear().await.expect("told on the other connection");
+    assert_eq!((told.session, told.body), (1, Body::release(cause::NORMAL)));
+}
+
+/// A session ends before the one that takes it over has heard of it, either end first.
+#[tokio::test]
+async fn what_ended_before_it_was_handed_over_is_released_at_once() {
+    let mut served = Served::start(1, |_| {}).await;
+    let mut viewer = served.viewer().await;
+    viewer.say(1, set_up("free", None)).await.expect("sent");
+    let (at, link, _) = served.next().await.expect("sent on");
+    served.say((at, link), 1, answer()).await;
+    viewer.hear().await.expect("answered");
+    served.say((at, link), 8, Body::release(cause::NORMAL)).await;
+    viewer.say(9, Body::release(cause::NORMAL)).await.expect("sent");
+    // What was said on the streamer's connection before this is heard once this is.
+    served.say((at, link), 1, Body::release(cause::NORMAL)).await;
+    assert_eq!(viewer.hear().await.expect("released").session, 1);
+    for session in [8, 9] {
+        viewer.say(session, set_up("free", Some("s0"))).await.expect("sent");
+    }
+    let told = viewer.hear().await.expect("its streamer ended it");
+    assert_eq!((told.session, told.body), (8, Body::release(cause::NORMAL)));
+    let (_, _, told) = served.next().await.expect("its viewer ended it");
+    assert_eq!((told.session, told.body), (9, Body::release(cause::NORMAL)));
+}
+
+/// A stop with a deadline longer than any fixed time: what was taken before it is answered, and signals that come
+/// twice or together change nothing.
+#[tokio::test]
+async fn a_stop_waits_for_the_longest_deadline_and_other_signals_change_nothing() {
+    let mut served = Served::start(1, |_| {}).await;
+    let mut viewer = served.viewer().await;
+    viewer.say(1, set_up("paid", None)).await.expect("sent");
+    let (at, link, _) = served.next().await.expect("sent on");
+    for signal in [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM] {
+        served.signal(signal);
+    }
+    // Longer than the eight seconds after which a stopping process used to end, whatever it owed.
+    sleep(Duration::from_millis(8700)).await;
+    served.say((at, link), 1, Body::release(cause::ERROR)).await;
+    assert_eq!(viewer.hear().await.expect("the final answer").body, Body::release(cause::BROKEN));
+    assert!(served.ends().await.success());
+}
+
+/// A configuration that is half written when SIGHUP comes is read again.
+#[tokio::test]
+async fn a_half_written_configuration_is_read_again() {
+    let served = Served::start(1, |_| {}).await;
+    let mut viewer = served.viewer().await;
+    passes(&mut viewer).await;
+    let moved = Journal::start().await.expect("a port");
+    let mut config = served.config.clone();
+    config["journal"] = json!(moved.address().expect("it is bound").to_string());
+    let (file, text) = (served.folder.path().join("config.json"), config.to_string());
+    served.journal.reader().await.expect("it asks");
+    std::fs::write(&file, &text[..text.len() / 2]).expect("written");
+    served.signal(Signal::SIGHUP);
+    passes(&mut viewer).await;
+    std::fs::write(&file, &text).expect("written");
+    moved.reader().await.expect("it asks at the new address, though nobody told it again");
+}
+
+/// Thirty processes under load are killed or stopped, one after the other, and started again.
+#[tokio::test]
+async fn restarted_processes_are_ready_soon() {
+    const PROCESSES: usize = 30;
+    let mut all = Vec::new();
+    for n in 0..PROCESSES {
+        all.push((n, Served::start(2, |config| config["limits"]["sockets"] = json!(256)).await));
+    }
+    let (tell, mut told) = mpsc::channel(PROCESSES);
+    for (n, mut served) in all {
+        let tell = tell.clone();
+        tokio::spawn(async move {
+            let (stop, mut stopped) = tokio::sync::oneshot::channel::<()>();
+            let listen = served.listen;
+            // Load until the restart is over: requests of which nobody hears again, on ever new connections.
+            let load = tokio::spawn(async move {
+                for session in 1.. {
+                    let asked = async {
+                        if let Ok(mut viewer) = End::viewer(listen).await {
+                            let _ = viewer.say(session, set_up("free", None)).await;
+                            sleep(Duration::from_millis(5)).await;
+                        }
+                    };
+                    tokio::select! {
+                        () = asked => {}
+                        _ = &mut stopped => return,
+                    }
+                }
+            });
+            let mut viewer = served.viewer().await;
+            passes(&mut viewer).await;
+            served.signal(if n % 2 == 0 { Signal::SIGTERM } else { Signal::SIGKILL });
+            let _ = served.process.wait().await;
+            let since = Instant::now();
+            served.process = spawn(served.folder.path(), &served.config, served.listen);
+            let mut viewer = served.viewer().await;
+            passes(&mut viewer).await;
+            let _ = tell.send(since.elapsed()).await;
+            let _ = stop.send(());
+            let _ = load.await;
+        });
+    }
+    drop(tell);
+    let mut took = Vec::new();
+    while let Some(one) = timeout(SOON * 6, told.recv()).await.expect("every one comes back") {
+        took.push(one);
+    }
+    took.sort();
+    assert_eq!(took.len(), PROCESSES);
+    let at = |part: usize| took[(PROCESSES * part / 100).min(PROCESSES - 1)];
+    println!("ready after a restart: p50 {:?}, p90 {:?}, max {:?}", at(50), at(90), took[PROCESSES - 1]);
+    assert!(at(90) < Duration::from_secs(10));
+}
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -38,14 +38,16 @@
         idle.min_by_key(|(_, conn)| (conn.good, conn.said)).map(|(conn, _)| *conn)
     }
 
-    /// Asks the spare connection to close; whether there is one. What it says meanwhile is heard, and keeps it.
-    pub fn make_room(&mut self) -> bool {
-        let Some(conn) = self.spare() else { return false };
+    /// Asks the spare connection to close, one at a time. What it says meanwhile is heard, and keeps it.
+    pub fn make_room(&mut self) {
+        if self.conns.values().any(|conn| conn.retiring) {
+            return;
+        }
+        let Some(conn) = self.spare() else { return };
         if let Some(from) = self.conns.get_mut(&conn) {
             from.retiring = true;
             self.effects.push(Effect::Retire { conn, heard: from.heard });
         }
-        true
     }
 
     /// What was to be said on a connection that is over. What stood is told of elsewhere; what a viewer never heard
--- a/crates/lemontide-platform/src/journal.rs
+++ b/crates/lemontide-platform/src/journal.rs
@@ -23,6 +23,11 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Between two dials, so that a service that refuses is not hammered.
 const REST: Duration = Duration::from_millis(100);
+/// The platform's time after which what a silent service would have told counts as told.
+const COUNTS_AS_TOLD: Duration = Duration::from_millis(4000);
+const _: () = assert!(
+    SILENCE.as_millis() + FIRST_SILENCE.as_millis() + 2 * REST.as_millis() < COUNTS_AS_TOLD.as_millis()
+);
 
 /// What a line of the service means to a reader who has all up to `last`.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -29,6 +29,8 @@
 const ORDERS_MOST: usize = 4;
 /// Descriptors that are neither viewers' nor streamers': the runtime's, the listener, the journal service, logs.
 const OWN_SOCKETS: usize = 24;
+/// Of them so many may be viewers' connections that are closed and still read for a moment.
+const CLOSING_MOST: usize = 8;
 /// Subscriptions and wishes in hand at most. Guards against memory filled by those who only ask.
 const HELD_MOST: usize = 4096;
 /// Seconds after which streamers close an idle connection, where the settings don't say, and the part of that after
@@ -40,10 +42,9 @@
 /// What was said last gets so long to leave. Symptom: the last answer of a stopping process is lost, as the task that
 /// writes it ends with the process.
 const LAST_WORDS: Span = Span::of_millis(300);
-/// A turn of the loop that comes so long after the last one first lets the sockets report what they hold.
-const SETTLE_AFTER: Span = Span::of_millis(30);
-/// A timer that fires so late says that this process stood still.
-const STOOD_STILL: Span = Span::of_millis(30);
+/// A timer that fires so late says that this process stood still, and hears first what its sockets hold. The timer
+/// fires ten times a second, so a stop that matters to anybody is seen.
+const STOOD_STILL: Span = Span::of_millis(5);
 /// After an accept that found no descriptor.
 const ACCEPT_REST: Duration = Duration::from_millis(5);
 /// A configuration that can't be read is read again after so long, so many times. Guards against one that is being
@@ -267,15 +268,14 @@
             came = listener.accept(), if open => accepted = Some(came),
             () = sleep_until(again) => {}
         }
-        // Where this process stood still, what came meanwhile is heard before anything is decided: a viewer that
-        // left, the end of an attempt, a drain.
-        let late = now() - desk.next().max(awake);
-        if now() - awake >= SETTLE_AFTER {
-            // The first turn of the runtime sees what the sockets hold, the second lets their tasks report it.
+        let late = Some(now() - desk.next().max(awake)).filter(|late| *late >= STOOD_STILL);
+        if late.is_some() {
+            // What came meanwhile is heard before anything is decided: a viewer that left, the end of an attempt, a
+            // drain. The first turn of the runtime sees what the sockets hold, the second lets their tasks report it.
             tokio::task::yield_now().await;
             tokio::task::yield_now().await;
         }
-        desk.stood_still(if late >= STOOD_STILL { late } else { Span::ZERO });
+        desk.stood_still(late.unwrap_or(Span::ZERO));
         // Each source has its share of every turn, so that a flood from one keeps none of the others waiting.
         // Viewers come first, as they may leave what would else be sent on; the timer comes last, as what it would
         // call late may have been told.
@@ -297,9 +297,12 @@
         }
         for _ in 0..ROUND {
             if let Some(socket) = doorway.take() {
-                if sockets.writing.len() >= viewers_most {
+                let (held, closing) = (sockets.viewers.len(), sockets.writing.len());
+                if held >= viewers_most || closing >= viewers_most + CLOSING_MOST {
                     // Nobody is turned away while another has room to make, and nobody who is owed an answer is cut.
-                    desk.make_room();
+                    if held >= viewers_most {
+                        desk.make_room();
+                    }
                     doorway = Some(socket);
                     break;
                 }
--- a/crates/lemontide-standin/src/platform.rs
+++ b/crates/lemontide-standin/src/platform.rs
@@ -47,6 +47,16 @@
         Ok(End(Framed::new(socket, Codec)))
     }
 
+    /// The end of a connection that is there already.
+    pub fn of(socket: TcpStream) -> End {
+        End(Framed::new(socket, Codec))
+    }
+
+    /// The connection itself; what was read and not heard is lost.
+    pub fn into_socket(self) -> TcpStream {
+        self.0.into_inner()
+    }
+
     pub async fn say(&mut self, session: u64, body: Body) -> io::Result<()> {
         self.0.send(Message { session, body }).await
     }
@@ -117,6 +127,11 @@
         message.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
 
+    /// What came already, if anything did.
+    pub fn try_news(&mut self) -> Option<Message> {
+        self.told.try_recv().ok()
+    }
+
     pub async fn say(&mut self, session: u64, body: Body) -> io::Result<()> {
         let mut bytes = BytesMut::new();
         Codec.encode(Message { session, body }, &mut bytes)?;
@@ -136,6 +151,11 @@
         Ok(Journal(TcpListener::bind(("127.0.0.1", 0)).await?))
     }
 
+    /// The same at an address that is free.
+    pub async fn listen(at: SocketAddr) -> io::Result<Journal> {
+        Ok(Journal(TcpListener::bind(at).await?))
+    }
+
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.0.local_addr()
     }
