A turn at a cold streamer keeps clear of late writes and of who came back within it

Who was born in a turn takes none of it. The open part of a turn ends the dial's time earlier; `dial.timeout` comes from the settings (`policy_limits.dial_timeout`). Only where settings say that clocks are apart.

--- a/crates/lemontide-front/src/settings.rs
+++ b/crates/lemontide-front/src/settings.rs
@@ -571,6 +571,7 @@
             ("cold.from", self.cold.from),
             ("cold.multiple", self.cold.multiple),
             ("cold.window", self.cold.window_s),
+            ("dial.timeout", self.links.dial_timeout_s),
         ] {
             number(name.to_owned(), value);
         }
--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -52,6 +52,7 @@
     ("family_info.racks", "rack.count", Figure, Must),
     ("family_info.seen_after", "notes.age", Figure, Must),
     ("family_info.told_every", "notes.every", Figure, Must),
+    ("policy_limits.dial_timeout", "dial.timeout", Figure, May),
     ("policy_limits.try_limit", "shots.most", Figure, Must),
     ("policy_limits.retry_after", "retry_after.allowed", Switch, May),
     ("policy_limits.max_retry_after", "retry_after.longest", Figure, May),
--- a/src/books.rs
+++ b/src/books.rs
@@ -144,7 +144,9 @@
 
 impl Streamer {
     pub fn is_cold(&self, rules: &HouseRules, now: Point) -> bool {
-        self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span"))
+        // By a clock that is ahead it is warm too early.
+        let apart = span(&rules.sheet, "clocks.apart");
+        self.started.is_some_and(|s| now - s < span(&rules.sheet, "cold.span") + apart)
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -968,9 +968,8 @@
     /// of the streamer at its coldest. Symptom: all controllers at once pour into a streamer that came back.
     fn my_turn(&self, rules: &HouseRules, now: Point) -> bool {
         // A controller that came back itself has an old list: to it every streamer may be cold for a while.
-        let young = now - rules.born < span(&rules.sheet, "cold.span") * 0.5;
         let cold = self.is_cold(rules, now);
-        if !cold && !young {
+        if !cold && now - rules.born >= span(&rules.sheet, "cold.span") * 0.5 {
             return true;
         }
         let pace = self.places / rules.number("cold.span", 0.0).max(1e-3) * rules.number("cold.from", 1.0);
@@ -981,8 +980,9 @@
         // As many numbers share a turn as the budget holds sends. Symptom: the round outlasts the warm-up.
         let sharing = budget.floor().clamp(1.0, rules.controllers());
         let round = (rules.controllers() / sharing).ceil() as i64;
-        // Who is ahead of other clocks must not send in the last window of who is behind.
-        let open = now.into_turn(window * 2.0) < window - span(&rules.sheet, "clocks.apart");
+        // Symptom: late sends, clocks ahead, or who came back in its turn and forgot it: two turns in one.
+        let apart = span(&rules.sheet, "clocks.apart") + span(&rules.sheet, "dial.timeout");
+        let open = now.into_turn(window * 2.0) < window - apart && rules.born.turn(window * 2.0) < turn;
         let has = |number: f64| open && turn.rem_euclid(round) as f64 == (number / sharing).floor();
         let (each, mine) = ((budget / sharing).floor(), has(rules.number("me", 0.0)) && !rules.turns.lost);
         // What own turns leave of the whole budget is dealt out among the turns of who is missing.
