Settings that come twice, lack a share or are past all measure end a start with place and remedy

A count of 1e300 overflowed an addition in enter() and would have asked for as many places (seen by a test that puts nine odd values at every place of the settings); two classes of one name were taken as one, and a tenant without share or quota as endless. Figures are bounded by 1e15, counts by 1e6. Absent tenants stay as they are.

--- a/crates/lemontide-sheet/src/lib.rs
+++ b/crates/lemontide-sheet/src/lib.rs
@@ -68,6 +68,11 @@
     ("rules.look_back", "ration.window", Figure, May),
 ];
 
+/// No figure is larger: no size, rate or time of any deployment comes near it, and sums of them stay exact.
+const MOST: f64 = 1e15;
+/// Nor is any count of things that get a place each.
+const COUNT_MOST: f64 = 1e6;
+
 /// Fields of the wire's lists of classes and tenants.
 const FIELDS: &[(&str, &str, &str, &str, Form, Need)] = &[
     ("classes", "name", "lanes", "name", Word, Must),
@@ -163,6 +168,25 @@
             return Err(format!("{wire}: below {least}; give {least} or more"));
         }
     }
+    for wire in ["family_info.positions", "family_info.racks", "peers_total"] {
+        if figure(wire).is_some_and(|value| value > COUNT_MOST) {
+            return Err(format!("{wire}: above {COUNT_MOST}; give less"));
+        }
+    }
+    for list in ["classes", "tenants"] {
+        let rows = rows(config, list)?;
+        let name = |row: &Json| row.get("name").cloned();
+        if let Some(again) =
+            (1..rows.len()).find(|i| rows[..*i].iter().any(|row| name(row) == name(&rows[*i])))
+        {
+            return Err(format!("{list}.{again}.name: it comes twice; give each a name of its own"));
+        }
+    }
+    let shareless =
+        |row: &Json| ["share", "quota_per_s"].iter().all(|of| row.get(of).is_none_or(Json::is_null));
+    if let Some(at) = rows(config, "tenants")?.iter().position(shareless) {
+        return Err(format!("tenants.{at}.share: it is missing; give the tenant's part, or quota_per_s"));
+    }
     for (wire, other) in
         [("family_info.worth_by_rung", "family_info.rung_kb"), ("family_info.kind_slots", "kinds")]
     {
@@ -207,10 +231,10 @@
 impl Form {
     fn remedy(self) -> &'static str {
         match self {
-            Figure => "give a number of 0 or more",
+            Figure => "give a number from 0 to 1e15",
             Word => "give a text",
             Switch => "give true or false",
-            Figures => "give a list of numbers of 0 or more",
+            Figures => "give a list of numbers from 0 to 1e15",
             Words => "give a list of texts",
             Switches => "give a list of true and false",
         }
@@ -219,7 +243,9 @@
 
 fn put(sheet: &mut Sheet, place: &str, name: String, value: &Json, form: Form) -> Result<(), String> {
     let value = match (form, value) {
-        (Figure | Figures, Json::Number(n)) => n.as_f64().filter(|n| *n >= 0.0).map(Value::Number),
+        (Figure | Figures, Json::Number(n)) => {
+            n.as_f64().filter(|n| (0.0..=MOST).contains(n)).map(Value::Number)
+        }
         (Word | Words, Json::String(s)) => Some(Value::Text(s.clone())),
         (Switch | Switches, Json::Bool(b)) => Some(Value::Flag(*b)),
         _ => None,
