--- a/crates/lemontide-cli/tests/crossings.rs
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -9,7 +9,8 @@
 use nix::unistd::Pid;
 use serde_json::{json, Value as Json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -17,6 +18,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
+/// Controllers started so far.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
 /// A streamer in the test: every connection is attended to, and what comes on any of them comes here.
 struct Streamer {
     listener: TcpListener,
@@ -45,7 +49,10 @@
             servers.push(server(at, &listener, "in_service"));
             all.push(Streamer { listener, links: Vec::new() });
         }
-        let free = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        // An address of its own: on the common one another's connection may take the port during a restart.
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let own = Ipv4Addr::new(127, 77, (number / 250) as u8, (number % 250) as u8 + 1);
+        let free = std::net::TcpListener::bind((own, 0)).expect("a free port");
         let listen = free.local_addr().expect("it is bound");
         drop(free);
         let mut settings = settings();
@@ -169,12 +176,12 @@
     }
 }
 
-/// A thousand requests whose streamers send them back while the process stands still, for longer than the tenth of a
+/// Two thousand requests whose streamers send them back while the process stands still, for longer than the tenth of a
 /// second after which an attempt counts; half of their viewers have closed or cancelled by then. None of theirs may
 /// begin, all of the others do.
 #[tokio::test]
 async fn no_attempt_begins_for_a_viewer_that_has_gone() {
-    const ROUNDS: u64 = 20;
+    const ROUNDS: u64 = 40;
     const EACH: u64 = 50;
     let mut served = Served::start(3, |_| {}).await;
     let mut begun_after = 0;
@@ -234,6 +241,112 @@
     assert_eq!(begun_after, 0);
 }
 
+/// Sends every set-up of a streamer back at once, and tells when it came.
+async fn send_back(listener: TcpListener, came: mpsc::Sender<(u64, Instant)>) {
+    while let Ok((socket, _)) = listener.accept().await {
+        let (came, mut link) = (came.clone(), End::of(socket));
+        tokio::spawn(async move {
+            while let Ok(message) = link.hear().await {
+                let answer = match message.body {
+                    Body::SetUp(_) => Body::release(cause::MOOT),
+                    Body::Test => Body::Tested { passed: true },
+                    _ => continue,
+                };
+                if matches!(message.body, Body::SetUp(_)) {
+                    let _ = came.send((message.session, Instant::now())).await;
+                }
+                if link.say(message.session, answer).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Viewers that leave at any moment while streamers send their requests back at once. When an attempt arrives
+/// depends on the machine; none comes much later than its viewer's close.
+#[tokio::test]
+async fn viewers_that_leave_at_random_moments_get_no_late_attempts() {
+    const EACH: u64 = 500;
+    let served = Served::start(3, |_| {}).await;
+    let (came, mut comes) = mpsc::channel(EACH as usize * 8);
+    let (left, mut leaves) = mpsc::channel(EACH as usize);
+    let (process, listen) = (served.process, served.listen);
+    let _kept = (process, served.journal, served.folder);
+    for streamer in served.streamers {
+        tokio::spawn(send_back(streamer.listener, came.clone()));
+    }
+    for session in 1..=EACH {
+        let left = left.clone();
+        tokio::spawn(async move {
+            // Spread by the number alone, so that every run is the same.
+            let spread = session.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            sleep(Duration::from_millis(spread >> 54)).await;
+            let mut viewer = End::viewer(listen).await.expect("it listens");
+            viewer.say(session, set_up("free", None)).await.expect("sent");
+            sleep(Duration::from_micros((spread >> 40) & 0x0fff)).await;
+            if session % 2 == 0 {
+                let _ = viewer.say(session, Body::release(cause::NORMAL)).await;
+                let _ = left.send((session, Instant::now())).await;
+                sleep(Duration::from_millis(50)).await;
+            } else {
+                drop(viewer);
+                let _ = left.send((session, Instant::now())).await;
+            }
+        });
+    }
+    drop((left, came));
+    let mut gone = BTreeMap::new();
+    while let Some((session, when)) = leaves.recv().await {
+        gone.insert(session, when);
+    }
+    assert_eq!(gone.len(), EACH as usize);
+    sleep(Duration::from_millis(1500)).await;
+    let (mut all, mut after, mut late, mut very_late) = (0, 0, 0, 0);
+    while let Ok((session, when)) = comes.try_recv() {
+        let since = when.saturating_duration_since(gone[&session]);
+        all += 1;
+        after += usize::from(since > Duration::ZERO);
+        late += usize::from(since > Duration::from_millis(100));
+        very_late += usize::from(since > Duration::from_secs(1));
+    }
+    println!("{EACH} viewers left, {all} attempts: {after} came after that, {late} over 0.1 s, {very_late} over 1 s");
+    assert!(all > 0 && very_late == 0);
+}
+
+/// A set-up that came while the process stood still is answered by the time its viewer gave, counted from then.
+#[tokio::test]
+async fn a_stall_shortens_the_wait_of_what_came_in_it() {
+    let mut served = Served::start(1, |_| {}).await;
+    let mut viewer = served.viewer().await;
+    passes(&mut viewer).await;
+    served.hold().await;
+    let Body::SetUp(asked) = set_up("paid", None) else { panic!("it is one") };
+    viewer.say(5, Body::SetUp(SetUp { wait_ms: 3000, ..asked })).await.expect("sent");
+    sleep(Duration::from_millis(1500)).await;
+    served.go_on();
+    let (_, _, message) = served.next().await.expect("sent on");
+    let Body::SetUp(sent) = message.body else { panic!("it is one") };
+    // The stall is seen but for one beat of the timer at most.
+    assert!(sent.wait_ms <= 3000 - 1500 + 120, "{} ms left", sent.wait_ms);
+}
+
+/// A streamer's answer and its viewer's close are found at once: nobody watches that stream.
+#[tokio::test]
+async fn an_answer_that_crosses_a_close_leaves_no_stream_behind() {
+    let mut served = Served::start(1, |_| {}).await;
+    let mut viewer = served.viewer().await;
+    viewer.say(5, set_up("free", None)).await.expect("sent");
+    let (at, link, _) = served.next().await.expect("sent on");
+    served.hold().await;
+    served.say((at, link), 5, answer()).await;
+    drop(viewer);
+    sleep(Duration::from_millis(50)).await;
+    served.go_on();
+    let (_, _, message) = served.next().await.expect("it is ended");
+    assert_eq!((message.session, message.body), (5, Body::release(cause::NORMAL)));
+}
+
 /// A set-up that comes on the connection that has been idle for longest, in the moment in which another needs its
 /// place: it was closed with the set-up unread, or its report was dropped.
 #[tokio::test]
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -131,3 +131,37 @@
     world.pass(3.0);
     assert!(world.answered(session).is_some(), "one answer by its deadline");
 }
+
+/// The viewer ends what plays, and the connection goes before the word for its streamer is written.
+#[test]
+fn the_end_of_a_stream_is_sent_again_where_its_connection_goes_first() {
+    let mut world = World::new();
+    let (session, link) = world.playing("free");
+    world.slow = [link].into();
+    world.say(VIEWERS, session, Body::release(cause::NORMAL));
+    assert_eq!(order_of(&world, session), [true], "it waits to be written");
+    world.batches.clear();
+    world.slow.clear();
+    world.loses(link, Loss::Broke);
+    world.pass(1.0);
+    assert_eq!(order_of(&world, session), [true, false], "once, on the next connection");
+}
+
+/// Set-ups wait for a dial; half of their viewers leave, and then it comes up.
+#[test]
+fn what_waits_for_a_dial_is_not_sent_once_its_viewer_left() {
+    let mut world = World::new();
+    world.stuck = true;
+    let asked: Vec<u64> = (0..40).map(|_| world.ask("paid")).collect();
+    assert!(asked.iter().all(|session| order_of(&world, *session).is_empty()), "all wait");
+    for session in asked.iter().step_by(2) {
+        world.say(VIEWERS, *session, Body::release(cause::NORMAL));
+    }
+    for (link, dial) in world.dials.clone() {
+        world.desk.linked(world.now, link, dial);
+    }
+    world.perform();
+    for (n, session) in asked.iter().enumerate() {
+        assert_eq!(world.shots(*session), n % 2, "number {n}");
+    }
+}
