--- a/crates/lemontide-standin/tests/crossings.rs
+++ b/crates/lemontide-standin/tests/crossings.rs
@@ -71,11 +71,14 @@
     line.orders.send(batch).await.expect("it takes orders");
     let begun = || all.iter().filter(|(_, permit)| permit.has_begun()).count();
     // Full when nothing more begins for a while; whether a few more do is of no matter to any test.
-    let mut before = usize::MAX;
-    while begun() == 0 || before != begun() {
-        before = begun();
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    let full = async {
+        let mut before = usize::MAX;
+        while begun() == 0 || before != begun() {
+            before = begun();
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(SOON, full).await.expect("it begins, and stops when the socket is full");
     assert!(begun() < all.len(), "some wait");
     all
 }
@@ -96,7 +99,7 @@
     drop(line.orders);
     assert_eq!(read_all(&mut line.streamer).await, left);
     let mut wrote = 0;
-    while let Some(report) = line.reports.recv().await {
+    while let Some(report) = timeout(SOON, line.reports.recv()).await.expect("its task ends") {
         if let Report::Wrote { unsent, .. } = report {
             assert_eq!(unsent.len(), all.len() - left.len());
             wrote += 1;
@@ -184,9 +187,12 @@
     assert_eq!(last, 0);
     reader.write_all((event(1) + &event(2)).as_bytes()).await.expect("sent");
     // The first fills the channel; the second has been read once the service's word after it makes no difference.
-    while heard.is_empty() {
-        tokio::task::yield_now().await;
-    }
+    let first = async {
+        while heard.is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(SOON, first).await.expect("told");
     tokio::time::sleep(Duration::from_millis(100)).await;
     moves.send(address(&new)).expect("followed");
     let (mut reader, last) = new.reader().await.expect("it asks at the new address");
