--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -69,7 +69,7 @@
         ("link.kb_per_weight", 1e7),
     ];
     let mut on = Controller::start(now + skew, day.seed + me as u64, &sheet(me, day.processes, &more));
-    let told = me % 2 == 0 || now - since >= Span::of(day.unaware);
+    let told = me.is_multiple_of(2) || now - since >= Span::of(day.unaware);
     let news = line(0, Stage::Ready, Some(since));
     on.learn(now + skew, &if told { vec![news] } else { Vec::new() }, true);
     Process { on, playing: Vec::new(), skew, told }
@@ -172,11 +172,11 @@
                 let restart = [None, Some(0.3), Some(0.55)][seed as usize % 3];
                 let day = Day { processes, restart, late: 0.25, unaware: 4.0, seed, ..Day::default() };
                 let sends = play(site, &day);
-                let over = excess(site, &sends);
-                println!(
-                    "{processes:4} {site:?} {restart:?}: {over:.1} over, used {:.2}",
-                    used(site, &sends)
-                );
+                let (over, used) = (excess(site, &sends), used(site, &sends));
+                println!("{processes:4} {site:?} {restart:?}: {over:.1} over, used {used:.2}");
+                // Where a window holds a few sends and not hundreds share them, the ramp is used.
+                let holds = site.budget(0.0) >= 3.0 && processes <= 30;
+                assert!(!holds || used >= USED_LEAST, "{used:.2} used: {site:?}, {day:?}");
                 assert!(over <= 0.0, "{over:.1} over the budget: {site:?}, {day:?}");
             }
         }
