Answers leave before anything new is decided; one log line a request

Changed: what viewers ask is queued in the desk and decided one a turn, after all that was heard beside it; an answer is handed over with its report and written before the next decision. Who cancels or closes in the same turn is not sent on; a request's time runs from its reading, not its decision. Each request leaves a line of the target 'request' at its end with the time of each step; 'lemontide requests' joins them.

--- a/crates/lemontide-cli/src/main.rs
+++ b/crates/lemontide-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod front;
 mod gossip;
 mod measure;
+mod requests;
 mod serve;
 mod tools;
 
@@ -47,6 +48,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Join logs of `request=debug` by session: requests without an end, with two or a late one, and the time of each step.
+    Requests {
+        /// Logs, or folders of them.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Measure something: a table, then one line of JSON.
     #[command(subcommand)]
     Measure(measure::What),
@@ -91,6 +98,7 @@
         Command::Streamer(args) => day::streamer(&args),
         Command::Day(command) => day::run(command),
         Command::Judge { taps, json } => tools::judge(&taps, json),
+        Command::Requests { logs } => requests::run(&logs),
         Command::Measure(what) => measure::run(what),
         Command::Check { file, day } => tools::check(&file, day),
         Command::Schema { of, into } => tools::schema(of, into.as_deref()),
--- a/crates/lemontide-cli/tests/crossings.rs
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -134,11 +134,26 @@
 }
 
 fn spawn(folder: &std::path::Path, config: &Json, listen: SocketAddr) -> Child {
+    spawn_logging(folder, config, listen, None)
+}
+
+/// The same, with a line for every request in that file.
+fn spawn_logging(
+    folder: &std::path::Path,
+    config: &Json,
+    listen: SocketAddr,
+    log: Option<&std::path::Path>,
+) -> Child {
     let file = folder.join("config.json");
     std::fs::write(&file, config.to_string()).expect("written");
     let most = config["limits"]["sockets"].as_u64().expect("a number");
     // The descriptors are the platform's: no more than it says.
-    Command::new("/bin/sh")
+    let mut command = Command::new("/bin/sh");
+    if let Some(log) = log {
+        let log = std::fs::File::create(log).expect("a file");
+        command.env("LEMONTIDE_LOG", "request=debug").stderr(log.try_clone().expect("a file")).stdout(log);
+    }
+    command
         .arg("-c")
         .arg(format!("ulimit -n {most}; exec {} serve", env!("CARGO_BIN_EXE_lemontide")))
         .env("RELAY_CONFIG", &file)
@@ -537,6 +552,122 @@
     assert!(served.ends().await.success());
 }
 
+/// An answer and two dozen new requests that a process finds at once: the answer is with its viewer before anything of the
+/// requests is with a streamer. A viewer may leave while its answer waits, and is never answered then.
+#[tokio::test]
+async fn an_answer_leaves_before_anything_new_is_decided() {
+    const ROUNDS: u64 = 8;
+    const ASKED: u64 = 24;
+    let mut served = Served::start(1, |_| {}).await;
+    let mut asking = Vec::new();
+    for _ in 0..4 {
+        asking.push(served.viewer().await);
+    }
+    let mut viewer = served.viewer().await;
+    for round in 1..=ROUNDS {
+        let session = round * 1000;
+        viewer.say(session, set_up("paid", None)).await.expect("sent");
+        let (at, link, message) = served.next().await.expect("sent on");
+        assert_eq!(message.session, session);
+        served.hold().await;
+        for n in 1..=ASKED {
+            let asks = &mut asking[n as usize % 4];
+            asks.say(session + n, set_up("free", None)).await.expect("sent");
+        }
+        served.say((at, link), session, answer()).await;
+        // All of it is in the sockets of the process once the other ends have written it.
+        sleep(Duration::from_millis(20)).await;
+        served.go_on();
+        let answered = async { viewer.hear().await.expect("answered").session };
+        let first = tokio::select! {
+            biased;
+            session = answered => session,
+            message = served.next() => message.expect("sent on").2.session,
+        };
+        assert_eq!(first, session, "round {round}: a new request was sent on before the answer");
+        for _ in 0..ASKED {
+            let (at, link, message) = served.next().await.expect("sent on");
+            served.say((at, link), message.session, answer()).await;
+        }
+        for n in 1..=ASKED {
+            let heard = asking[n as usize % 4].hear().await.expect("answered");
+            assert_eq!(heard.body, answer());
+        }
+    }
+}
+
+/// Connections on which nothing happens wake nobody: what a process is woken for is counted, not timed. With a hundred it
+/// was woken up to a thousand times a second, and on a small part of a core answers waited behind that.
+#[tokio::test]
+async fn idle_connections_wake_nobody() {
+    const CONNECTIONS: usize = 100;
+    let served = Served::start(1, |_| {}).await;
+    let mut idle = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut viewer = served.viewer().await;
+        passes(&mut viewer).await;
+        idle.push(viewer);
+        sleep(Duration::from_millis(1)).await;
+    }
+    let pid = served.process.id().expect("it runs");
+    let woken = || {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"));
+        line.and_then(|n| n.trim().parse::<u64>().ok()).expect("a number")
+    };
+    let before = woken();
+    sleep(Duration::from_millis(1500)).await;
+    let times = woken() - before;
+    println!("woken {times} times in 1.5 s with {CONNECTIONS} idle connections");
+    assert!(times < 150, "woken {times} times");
+}
+
+/// Each request leaves one line in the log at its end, with how long each step took.
+#[tokio::test]
+async fn every_request_leaves_one_line() {
+    let mut served = Served::start(1, |_| {}).await;
+    let log = served.folder.path().join("log");
+    served.process.kill().await.expect("killed");
+    served.process = spawn_logging(served.folder.path(), &served.config, served.listen, Some(&log));
+    let mut viewer = served.viewer().await;
+    for session in [1, 2, 3] {
+        viewer.say(session, set_up("paid", None)).await.expect("sent");
+        let (at, link, message) = served.next().await.expect("sent on");
+        assert_eq!(message.session, session);
+        match session {
+            1 => served.say((at, link), 1, answer()).await,
+            2 => served.say((at, link), 2, Body::release(cause::ERROR)).await,
+            _ => viewer.say(3, Body::release(cause::NORMAL)).await.expect("sent"),
+        }
+        if session < 3 {
+            viewer.hear().await.expect("answered");
+        }
+    }
+    passes(&mut viewer).await;
+    let lines = || {
+        let text = std::fs::read_to_string(&log).unwrap_or_default();
+        let lines = text.lines().filter_map(|line| serde_json::from_str::<Json>(line).ok());
+        lines.filter(|line| line["target"] == "request").collect::<Vec<_>>()
+    };
+    let there = async {
+        while lines().len() < 3 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, there).await.expect("three lines");
+    let lines = lines();
+    let outcomes: Vec<_> = lines.iter().map(|line| (&line["session"], &line["outcome"])).collect();
+    let wanted = [("1", "Plays"), ("2", "Failed"), ("3", "ViewerLeft")];
+    let wanted = wanted.map(|(session, outcome)| (json!(format!("{session:0>16}")), json!(outcome)));
+    assert_eq!(outcomes, wanted.iter().map(|(s, o)| (s, o)).collect::<Vec<_>>());
+    for step in ["decided_ms", "begun_ms", "answered_ms", "said_ms", "written_ms"] {
+        assert!(lines[0][step].as_f64().is_some_and(|ms| ms >= 0.0), "{step}: {}", lines[0]);
+    }
+    let order = ["decided_ms", "begun_ms", "answered_ms", "said_ms", "written_ms"];
+    let times: Vec<_> = order.iter().map(|step| lines[0][step].as_f64()).collect();
+    assert!(times.is_sorted(), "{}", lines[0]);
+}
+
 /// A configuration that is half written when SIGHUP comes is read again.
 #[tokio::test]
 async fn a_half_written_configuration_is_read_again() {
--- a/crates/lemontide-cli/tests/program.rs
+++ b/crates/lemontide-cli/tests/program.rs
@@ -231,3 +231,33 @@
         assert!(ended.expect("within the bound").expect("waited for").success());
     });
 }
+
+#[test]
+fn logs_of_requests_are_joined_by_session() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let line = |session: &str, more: &str| {
+        format!("0.1 {{\"target\":\"request\",\"session\":\"{session}\"{more}}}\n")
+    };
+    let plays = ",\"outcome\":\"Plays\",\"wait_ms\":100,\"decided_ms\":1.0,\"begun_ms\":2.0,\"written_ms\":";
+    let ends = |session: &str, written: &str| line(session, &format!("{plays}{written}"));
+    let first = [line("a", ""), ends("a", "50.0"), line("b", ""), "no json {\n".into()].concat();
+    let second = [ends("c", "50.0"), ends("c", "60.0"), ends("d", "101.0")].concat();
+    std::fs::write(folder.path().join("n0.log"), first).expect("written");
+    std::fs::write(folder.path().join("n1.log"), second).expect("written");
+    let run = |of: &std::path::Path| {
+        let run =
+            std::process::Command::new(env!("CARGO_BIN_EXE_lemontide")).arg("requests").arg(of).output();
+        let run = run.expect("it runs");
+        (run.status.code(), String::from_utf8_lossy(&run.stdout).into_owned())
+    };
+    let (code, told) = run(folder.path());
+    assert_eq!(code, Some(1), "{told}");
+    for wanted in
+        ["b  no end: ", "c  more than one end: 2", "d  an end after its time: ", "4 requests, 3 wrong"]
+    {
+        assert!(told.contains(wanted), "{wanted} in {told}");
+    }
+    assert!(!told.contains("a  "), "{told}");
+    std::fs::write(folder.path().join("sound"), ends("a", "50.0")).expect("written");
+    assert_eq!(run(&folder.path().join("sound")).0, Some(0));
+}
--- a/crates/lemontide-platform/src/codec.rs
+++ b/crates/lemontide-platform/src/codec.rs
@@ -84,6 +84,13 @@
     pub description: Bytes,
 }
 
+impl SetUp {
+    /// The streamer at which it plays already, where it is handed over.
+    pub fn plays_at(&self) -> Option<&String> {
+        self.figures.as_ref()?.at.as_ref()
+    }
+}
+
 /// What a streamer notes about a subscription that stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Note {
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -11,6 +11,7 @@
 use crate::codec::{cause, Body, Message, Note, SetUp};
 use crate::config::{Entry, Hosts};
 use crate::permit::Permit;
+use crate::steps::{Outcome, Steps};
 use crate::viewers::Said;
 use bytes::Bytes;
 use lemontide::clock::{Point, Span};
@@ -59,6 +60,8 @@
         message: Message,
         /// It ends what stood: any viewers' connection may carry it.
         stood: bool,
+        /// Of the request that it answers, where they are logged.
+        steps: Option<Box<Steps>>,
     },
     /// Close a viewers' connection on which nothing is open, unless more than so many messages came on it.
     Retire {
@@ -118,6 +121,16 @@
     pub permit: Option<Permit>,
 }
 
+/// What a viewer asks for and nobody has decided yet.
+struct Asked {
+    conn: u64,
+    session: u64,
+    body: Body,
+    /// When it was read, and how long it may have waited unread.
+    read: Point,
+    late: Span,
+}
+
 /// A wish or subscription in hand.
 struct Held {
     session: u64,
@@ -130,6 +143,10 @@
     until: Point,
     rung: usize,
     shots: u32,
+    read: Point,
+    decided: Option<Point>,
+    /// When its last attempt began.
+    begun: Option<Point>,
     out: Option<Out>,
     /// Since when it plays.
     playing: Option<Point>,
@@ -207,6 +224,8 @@
     stops: Option<Point>,
     /// How long this process stood still before what it hears now.
     late: Span,
+    /// Heard in this turn and not decided, in order.
+    asked: VecDeque<Asked>,
     /// Ends of what stood that were heard before anybody handed it over, by their session.
     over: VecDeque<(u64, Over)>,
     /// Releases for streamers that are not written yet.
@@ -236,6 +255,7 @@
             next_link: 0,
             stops: None,
             late: Span::ZERO,
+            asked: VecDeque::new(),
             over: VecDeque::new(),
             ends: VecDeque::new(),
             effects: Vec::new(),
@@ -258,6 +278,11 @@
         self.held.values().filter(|held| held.playing.is_none()).count()
     }
 
+    /// What viewers ask for that is not decided yet.
+    pub fn asked(&self) -> usize {
+        self.asked.len()
+    }
+
     pub fn links(&self) -> usize {
         self.wires.len()
     }
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -49,6 +49,8 @@
 
     pub(super) fn plays(&mut self, now: Point, id: u32, description: Bytes, load: Load) {
         let Some(held) = self.held.get_mut(&id) else { return };
+        held.begun = held.out.as_ref().and_then(|out| out.permit.begun_at());
+        let steps = Self::steps(held, Outcome::Plays, now);
         if let Some(wire) = held.out.take().and_then(|out| self.wires.get_mut(&out.link)) {
             wire.open = wire.open.saturating_sub(1);
         }
@@ -60,14 +62,14 @@
         if load.link.is_some() || load.rack.is_some() {
             handle.load(&mut self.module, now, load);
         }
-        self.say(conn, session, Body::Answer { description, load: Load::default() });
+        self.answer(conn, session, Body::Answer { description, load: Load::default() }, steps);
         if let Some(from) = self.conns.get_mut(&conn) {
             from.open = from.open.saturating_sub(1);
             from.good = true;
         }
         for (until, message) in std::mem::take(&mut self.owed) {
             if now <= until {
-                self.effects.push(Effect::Say { conn, message, stood: true });
+                self.effects.push(Effect::Say { conn, message, stood: true, steps: None });
             }
         }
     }
@@ -143,8 +145,11 @@
     /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
     pub(super) fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        if let Some(wire) = held.out.take().and_then(|out| self.wires.get_mut(&out.link)) {
-            wire.open = wire.open.saturating_sub(1);
+        if let Some(out) = held.out.take() {
+            held.begun = out.permit.begun_at().or(held.begun);
+            if let Some(wire) = self.wires.get_mut(&out.link) {
+                wire.open = wire.open.saturating_sub(1);
+            }
         }
         let (handle, plays) = (held.handle, held.playing.is_some());
         tracing::debug!(
@@ -177,10 +182,10 @@
                 self.shoot(now, &shot);
             }
             for (id, after) in results.turned_back.drain(..) {
-                self.finish(id, viewers::turned_back(after));
+                self.finish(now, id, viewers::turned_back(after), Outcome::Rejected);
             }
             for id in results.scrapped.drain(..) {
-                self.finish(id, Body::release(cause::BROKEN));
+                self.finish(now, id, Body::release(cause::BROKEN), Outcome::Failed);
             }
             for id in results.moved.drain(..) {
                 let Some(held) = self.remove(id) else { continue };
@@ -195,14 +200,15 @@
     }
 
     /// The one answer of a wish that came to nothing.
-    pub(super) fn finish(&mut self, id: u32, body: Body) {
+    pub(super) fn finish(&mut self, now: Point, id: u32, body: Body, outcome: Outcome) {
         let Some(held) = self.remove(id) else { return };
         self.turn_away(held.conn, held.session);
         tracing::debug!(
             target: "decision",
             session = format!("{:016x}", held.session), lane = held.set_up.lane, shots = held.shots, ?body
         );
-        self.say(held.conn, held.session, body);
+        let steps = Self::steps(&held, outcome, now);
+        self.answer(held.conn, held.session, body, steps);
     }
 
     pub(super) fn set_rung(&mut self, now: Point, id: u32, rung: usize) {
@@ -231,6 +237,7 @@
         let not_after = deadline.min(now + self.terms.dial_timeout);
         let number = held.shots;
         held.shots += 1;
+        held.decided = held.decided.or(Some(now));
         held.at = at.clone();
         let set_up = SetUp {
             wait_ms: (shot.within.seconds() * 1e3).max(0.0) as u64,
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -22,6 +22,7 @@
     /// A viewers' connection is over: what was asked on it and not answered is owed to nobody.
     pub fn viewer_gone(&mut self, now: Point, conn: u64) {
         let Some(was) = self.conns.remove(&conn) else { return };
+        self.asked.retain(|asked| asked.conn != conn);
         if was.open > 0 {
             let on_it = |held: &Held| held.conn == conn && held.playing.is_none();
             let ids: Vec<u32> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
@@ -53,7 +54,7 @@
     /// What was to be said on a connection that is over. What stood is told of elsewhere; what a viewer never heard
     /// is set up is ended.
     pub fn unsaid(&mut self, now: Point, all: Vec<Said>) {
-        for Said { message, stood } in all {
+        for Said { message, stood, .. } in all {
             match message.body {
                 Body::Release { cause, .. } if stood => self.release(now, 0, message.session, cause),
                 Body::Answer { .. } => {
@@ -77,7 +78,9 @@
         }
     }
 
-    pub fn viewer_said(&mut self, now: Point, conn: u64, message: Message) {
+    /// Hears a viewer. What it asks for waits for `decide`, so that all that was heard beside it counts: who leaves
+    /// or cancels in the same moment is not sent on, and what streamers said leaves first.
+    pub fn viewer_said(&mut self, now: Point, conn: u64, message: Message, read: Point) {
         let Some(from) = self.conns.get_mut(&conn) else { return };
         from.said = now;
         from.heard += 1;
@@ -85,12 +88,23 @@
         let session = message.session;
         match message.body {
             Body::Test => self.say(conn, session, Body::Tested { passed: true }),
-            Body::SetUp(set_up) => self.set_up(now, conn, session, set_up),
-            Body::Unusable(why) => {
-                tracing::info!(target: "viewers", why, "a set-up that can't be used");
-                self.refuse(now, conn, session);
+            body @ (Body::SetUp(_) | Body::Unusable(_)) => {
+                if matches!(&body, Body::SetUp(set_up) if set_up.plays_at().is_none()) {
+                    tracing::trace!(target: "request", session = format!("{session:016x}"), conn, "read");
+                }
+                self.asked.push_back(Asked { conn, session, body, read, late: self.late });
+                return;
             }
             Body::Release { .. } => {
+                let asked = |asked: &Asked| {
+                    let new = matches!(&asked.body, Body::SetUp(set_up) if set_up.plays_at().is_none());
+                    (asked.conn, asked.session, new) == (conn, session, true)
+                };
+                if let Some(place) = self.asked.iter().position(asked) {
+                    // Cancelled before anything was decided: no answer is owed.
+                    self.asked.remove(place);
+                    return;
+                }
                 let id = self.by_session.get(&session).copied();
                 let held = id.and_then(|id| Some((id, self.held.get(&id)?)));
                 match held.map(|(id, held)| (id, held.playing.is_some(), held.conn == conn)) {
@@ -111,8 +125,46 @@
         self.carry_out(now);
     }
 
+    /// Decides the first of what viewers asked for; false where nothing waits.
+    pub fn decide(&mut self, now: Point) -> bool {
+        let Some(Asked { conn, session, body, read, late }) = self.asked.pop_front() else { return false };
+        match body {
+            Body::SetUp(set_up) => self.set_up(now, conn, session, set_up, (read, late)),
+            Body::Unusable(why) => {
+                tracing::info!(target: "viewers", why, "a set-up that can't be used");
+                self.refuse(now, conn, session);
+            }
+            _ => {}
+        }
+        self.carry_out(now);
+        true
+    }
+
     pub(super) fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.effects.push(Effect::Say { conn, message: Message { session, body }, stood: false });
+        self.answer(conn, session, body, None);
+    }
+
+    /// The final answer of a request, or anything else that only this connection may carry.
+    pub(super) fn answer(&mut self, conn: u64, session: u64, body: Body, steps: Option<Box<Steps>>) {
+        self.effects.push(Effect::Say { conn, message: Message { session, body }, stood: false, steps });
+    }
+
+    /// The steps of a request that ends now, if anybody reads them.
+    pub(super) fn steps(held: &Held, outcome: Outcome, now: Point) -> Option<Box<Steps>> {
+        Steps::are_logged().then(|| {
+            Box::new(Steps {
+                session: held.session,
+                conn: held.conn,
+                outcome,
+                attempts: held.shots,
+                wait_ms: held.set_up.wait_ms,
+                read: held.read,
+                decided: held.decided,
+                begun: held.begun,
+                answered: (outcome == Outcome::Plays).then_some(now),
+                said: (outcome != Outcome::ViewerLeft).then_some(now),
+            })
+        })
     }
 
     /// Remembers an end that nobody here waits for.
@@ -160,10 +212,11 @@
         }
     }
 
-    pub(super) fn set_up(&mut self, now: Point, conn: u64, session: u64, set_up: SetUp) {
+    /// `read` is when it was read, with how long it may have waited unread: its time runs from then.
+    fn set_up(&mut self, now: Point, conn: u64, session: u64, set_up: SetUp, read: (Point, Span)) {
         tracing::debug!(target: "decision", session = format!("{session:016x}"), conn, ?set_up);
         let why = if session == 0 { Some("no id") } else { self.wrong(&set_up) };
-        let plays_at = set_up.figures.as_ref().and_then(|figures| figures.at.clone());
+        let plays_at = set_up.plays_at().cloned();
         if let Some(why) = why {
             tracing::info!(target: "viewers", why, "a set-up that can't be used");
             if plays_at.is_none() {
@@ -183,7 +236,7 @@
             lane: &lane,
             tenant: &tenant,
             title: &title,
-            cut_off: (now + wait) - ANSWER_MARGIN - self.late,
+            cut_off: (read.0 + wait) - ANSWER_MARGIN - read.1,
             home: figures.home,
             copies: figures.copies,
             top: figures.top,
@@ -200,6 +253,9 @@
             until,
             rung: 0,
             shots: 0,
+            read: read.0,
+            decided: None,
+            begun: None,
             out: None,
             playing,
         };
@@ -259,6 +315,9 @@
     /// A viewer stops waiting: no answer is owed, and what is out is given up.
     pub(super) fn given_up(&mut self, now: Point, id: u32) {
         let Some(mut held) = self.remove(id) else { return };
+        if let Some(steps) = Self::steps(&held, Outcome::ViewerLeft, now) {
+            steps.log(None);
+        }
         held.handle.left(&mut self.module);
         if let Some(out) = held.out.take() {
             let ending = self.give_up(now, id, held.session, &out).0;
@@ -282,7 +341,7 @@
         match own.or(good.map(|(conn, _)| *conn)) {
             Some(conn) => {
                 let message = Message { session, body: Body::release(why) };
-                self.effects.push(Effect::Say { conn, message, stood: true });
+                self.effects.push(Effect::Say { conn, message, stood: true, steps: None });
             }
             None if self.owed.len() < OWED_MOST => {
                 self.owed.push_back((now + OWED_FOR, Message { session, body: Body::release(why) }));
--- a/crates/lemontide-platform/src/permit.rs
+++ b/crates/lemontide-platform/src/permit.rs
@@ -1,7 +1,9 @@
 //! Whether something may still be begun on a socket. The desk, which may take it back, and the task that writes it
 //! share one permit, so that there is one place in which it is decided: whoever comes first.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use lemontide::clock::Point;
+use lemontide_front::core::seconds;
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 
 const OPEN: u8 = 0;
@@ -10,7 +12,14 @@
 
 /// Shared by its clones; equal only to them.
 #[derive(Clone, Debug, Default)]
-pub struct Permit(Arc<AtomicU8>);
+pub struct Permit(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: AtomicU8,
+    /// The bits of the moment in which it began, in seconds.
+    begun: AtomicU64,
+}
 
 impl Permit {
     pub fn new() -> Permit {
@@ -22,6 +31,18 @@
         self.settle(BEGUN)
     }
 
+    /// The same, and keeps the moment.
+    pub fn begin_at(&self, now: Point) -> bool {
+        self.0.begun.store(seconds(now).to_bits(), Ordering::Release);
+        self.begin()
+    }
+
+    /// When it began, if that was kept.
+    pub fn begun_at(&self) -> Option<Point> {
+        let at = self.0.begun.load(Ordering::Acquire);
+        (at > 0 && self.has_begun()).then(|| Point::at(f64::from_bits(at)))
+    }
+
     /// Takes it back. True where it had not begun and now never will: proof that nothing of it was written.
     pub fn withdraw(&self) -> bool {
         self.settle(WITHDRAWN)
@@ -29,15 +50,15 @@
 
     /// The socket took nothing after all: it has not begun.
     pub fn undo(&self) {
-        let _ = self.0.compare_exchange(BEGUN, OPEN, Ordering::AcqRel, Ordering::Acquire);
+        let _ = self.0.state.compare_exchange(BEGUN, OPEN, Ordering::AcqRel, Ordering::Acquire);
     }
 
     pub fn has_begun(&self) -> bool {
-        self.0.load(Ordering::Acquire) == BEGUN
+        self.0.state.load(Ordering::Acquire) == BEGUN
     }
 
     fn settle(&self, as_what: u8) -> bool {
-        match self.0.compare_exchange(OPEN, as_what, Ordering::AcqRel, Ordering::Acquire) {
+        match self.0.state.compare_exchange(OPEN, as_what, Ordering::AcqRel, Ordering::Acquire) {
             Ok(_) => true,
             Err(already) => already == as_what,
         }
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -107,18 +107,24 @@
 }
 
 impl Sockets {
-    /// Does what the desk left to be done.
-    fn carry_out(&mut self, now: Point, desk: &mut Desk) {
+    /// Does what the desk left to be done; whether anything was handed to a viewers' connection.
+    fn carry_out(&mut self, now: Point, desk: &mut Desk) -> bool {
+        let mut handed = false;
         while !desk.effects.is_empty() {
             for effect in std::mem::take(&mut desk.effects) {
                 match effect {
-                    Effect::Say { conn, message, stood } => {
-                        let said = Said { message, stood };
-                        let full = match self.viewers.get(&conn) {
-                            None => false,
-                            Some(words) => match words.try_send(Word::Say(said.clone())) {
-                                Ok(()) => continue,
-                                Err(e) => matches!(e, mpsc::error::TrySendError::Full(_)),
+                    Effect::Say { conn, message, stood, steps } => {
+                        let said = Box::new(Said { message, stood, steps });
+                        let (full, said) = match self.viewers.get(&conn) {
+                            None => (false, said),
+                            Some(words) => match words.try_send(Word::Say(said)) {
+                                Ok(()) => {
+                                    handed = true;
+                                    continue;
+                                }
+                                Err(mpsc::error::TrySendError::Full(Word::Say(said))) => (true, said),
+                                Err(mpsc::error::TrySendError::Closed(Word::Say(said))) => (false, said),
+                                Err(_) => continue,
                             },
                         };
                         if full {
@@ -126,7 +132,7 @@
                             self.viewers.remove(&conn);
                         }
                         desk.viewer_gone(now, conn);
-                        desk.unsaid(now, vec![said]);
+                        desk.unsaid(now, vec![*said]);
                     }
                     Effect::Retire { conn, heard } => {
                         // One that does not read is not idle, and ends by itself.
@@ -158,11 +164,12 @@
                 }
             }
         }
+        handed
     }
 
     fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
         match report {
-            viewers::Report::Said { conn, message } => desk.viewer_said(now, conn, message),
+            viewers::Report::Said { conn, message, read } => desk.viewer_said(now, conn, message, read),
             viewers::Report::Gone { conn, unsaid } => {
                 self.viewers.remove(&conn);
                 desk.viewer_gone(now, conn);
@@ -175,7 +182,7 @@
         let (words, said) = mpsc::channel(SAY_MOST);
         self.viewers.insert(conn, words);
         desk.viewer_up(now, conn);
-        self.writing.spawn(viewers::run(conn, socket, said, self.from_viewers.clone()));
+        self.writing.spawn(viewers::run(self.clock, conn, socket, said, self.from_viewers.clone()));
     }
 
     fn of_streamer(&mut self, now: Point, desk: &mut Desk, report: streamers::Report) {
@@ -262,10 +269,12 @@
                 desk.stop(now());
             }
             Some(()) = hang_up.recv() => read_again = Some((Instant::now(), READ_AGAIN_MOST)),
-            Some(report) = viewers_said.recv() => said = Some(report),
+            Some(report) = viewers_said.recv(), if desk.asked() < ROUND => said = Some(report),
             Some(report) = streamers_said.recv() => told = Some(report),
             Some(news) = list.recv() => hosts = Some(news),
             came = listener.accept(), if open => accepted = Some(came),
+            // What else there is to hear is heard before the next request is decided.
+            () = tokio::task::yield_now(), if desk.asked() > 0 => {}
             () = sleep_until(again) => {}
         }
         let late = Some(now() - desk.next().max(awake)).filter(|late| *late >= STOOD_STILL);
@@ -276,11 +285,15 @@
             tokio::task::yield_now().await;
         }
         desk.stood_still(late.unwrap_or(Span::ZERO));
+        let mut handed = false;
         // Each source has its share of every turn, so that a flood from one keeps none of the others waiting.
         // Viewers come first, as they may leave what would else be sent on; the timer comes last, as what it would
         // call late may have been told.
         for _ in 0..ROUND {
-            let Some(report) = said.take().or_else(|| viewers_said.try_recv().ok()) else { break };
+            // Whoever asks for more than is decided waits in its own connection.
+            let more = desk.asked() < ROUND;
+            let next = said.take().or_else(|| more.then(|| viewers_said.try_recv().ok()).flatten());
+            let Some(report) = next else { break };
             sockets.of_viewer(now(), &mut desk, report);
         }
         for _ in 0..ROUND {
@@ -290,11 +303,20 @@
         for _ in 0..ROUND {
             let Some(report) = told.take().or_else(|| streamers_said.try_recv().ok()) else { break };
             sockets.of_streamer(now(), &mut desk, report);
+            handed |= sockets.carry_out(now(), &mut desk);
         }
         desk.stood_still(Span::ZERO);
         if now() >= desk.next() {
             desk.tick(now());
         }
+        // An answer in hand leaves before a request is decided, and one request is decided a turn. Guards against
+        // answers that wait in a full turn: a viewer may leave meanwhile, and its time runs.
+        if desk.asked() > 0 {
+            if sockets.carry_out(now(), &mut desk) || handed {
+                tokio::task::yield_now().await;
+            }
+            desk.decide(now());
+        }
         for _ in 0..ROUND {
             if let Some(socket) = doorway.take() {
                 let (held, closing) = (sockets.viewers.len(), sockets.writing.len());
--- a/crates/lemontide-platform/src/streamers.rs
+++ b/crates/lemontide-platform/src/streamers.rs
@@ -54,8 +54,9 @@
         let mut begun = false;
         while !self.bytes.is_empty() {
             self.socket.writable().await?;
-            let late = queued.not_after.is_some_and(|until| Point::at(clock.now()) > until);
-            if !begun && (late || attempt.is_some_and(|attempt| !attempt.begin())) {
+            let now = Point::at(clock.now());
+            let late = queued.not_after.is_some_and(|until| now > until);
+            if !begun && (late || attempt.is_some_and(|attempt| !attempt.begin_at(now))) {
                 return Ok(false);
             }
             match self.socket.try_write(&self.bytes) {
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -3,7 +3,10 @@
 
 use crate::codec::{Codec, Message};
 use crate::reader::Reader;
+use crate::steps::Steps;
 use futures::{FutureExt, SinkExt};
+use lemontide::clock::Point;
+use lemontide_wire::clock::Clock;
 use std::collections::VecDeque;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,12 +32,11 @@
     Said {
         conn: u64,
         message: Message,
+        /// When its last byte was read.
+        read: Point,
     },
     /// It is over; what was to be said on it and was not.
-    Gone {
-        conn: u64,
-        unsaid: Vec<Said>,
-    },
+    Gone { conn: u64, unsaid: Vec<Said> },
 }
 
 /// A message to a viewer; with `stood` it ends what stood, and may be said on any other connection as well.
@@ -42,11 +44,13 @@
 pub struct Said {
     pub message: Message,
     pub stood: bool,
+    /// Of the request that it answers, where they are logged.
+    pub steps: Option<Box<Steps>>,
 }
 
 /// What a viewers' connection is told.
 pub enum Word {
-    Say(Said),
+    Say(Box<Said>),
     /// Close, unless more was said on it than this many messages, or is being said.
     Retire {
         heard: u64,
@@ -63,6 +67,7 @@
 
 /// Runs one connection until either end is done with it; it closes when `words` does.
 pub async fn run(
+    clock: Clock,
     conn: u64,
     socket: TcpStream,
     mut words: mpsc::Receiver<Word>,
@@ -80,7 +85,7 @@
             let mut next = Some(word);
             while let Some(word) = next {
                 match word {
-                    Word::Say(said) => unsaid.push_back(said),
+                    Word::Say(said) => unsaid.push_back(*said),
                     Word::Retire { heard } => {
                         retire_at.store(heard, Ordering::Release);
                         retire.notify_one();
@@ -88,7 +93,7 @@
                 }
                 next = words.try_recv().ok();
             }
-            let written = timeout(WRITE_TIMEOUT, say_all(&mut sink, &mut unsaid)).await;
+            let written = timeout(WRITE_TIMEOUT, say_all(clock, &mut sink, &mut unsaid)).await;
             if !matches!(written, Ok(Ok(()))) {
                 return End::Theirs;
             }
@@ -119,7 +124,8 @@
                 Ok(message) => {
                     due = None;
                     said += 1;
-                    if reports.send(Report::Said { conn, message }).await.is_err() {
+                    let read = Point::at(clock.now());
+                    if reports.send(Report::Said { conn, message, read }).await.is_err() {
                         return End::Ours;
                     }
                 }
@@ -137,11 +143,11 @@
     words.close();
     while let Ok(word) = words.try_recv() {
         if let Word::Say(said) = word {
-            unsaid.push_back(said);
+            unsaid.push_back(*said);
         }
     }
     if matches!(end, End::Ours) {
-        let _ = timeout(LINGER, say_all(&mut sink, &mut unsaid)).await;
+        let _ = timeout(LINGER, say_all(clock, &mut sink, &mut unsaid)).await;
         let _ = timeout(LINGER, sink.get_mut().shutdown()).await;
     }
     let _ = reports.send(Report::Gone { conn, unsaid: unsaid.into() }).await;
@@ -152,12 +158,17 @@
 
 /// Writes what waits; what is left in `unsaid` after an error was not.
 async fn say_all(
+    clock: Clock,
     sink: &mut FramedWrite<OwnedWriteHalf, Codec>,
     unsaid: &mut VecDeque<Said>,
 ) -> io::Result<()> {
+    let mut answered = Vec::new();
     while let Some(said) = unsaid.front() {
         sink.feed(said.message.clone()).await?;
-        unsaid.pop_front();
+        answered.extend(unsaid.pop_front().and_then(|said| said.steps));
     }
-    sink.flush().await
+    sink.flush().await?;
+    let written = Point::at(clock.now());
+    answered.iter().for_each(|steps| steps.log(Some(written)));
+    Ok(())
 }
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -142,7 +142,8 @@
     }
 
     pub fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.desk.viewer_said(self.now, conn, Message { session, body });
+        self.desk.viewer_said(self.now, conn, Message { session, body }, self.now);
+        while self.desk.decide(self.now) {}
         self.perform();
     }
 
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{entry, wish, World, STREAMERS, VIEWERS};
-use lemontide_platform::codec::{cause, Body, SetUp};
+use lemontide_platform::codec::{cause, Body, Message, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::desk::Loss;
 
@@ -165,3 +165,40 @@
         assert_eq!(world.shots(*session), n % 2, "number {n}");
     }
 }
+
+#[test]
+fn who_cancels_or_closes_in_the_moment_of_asking_is_not_sent_on() {
+    for closes in [true, false] {
+        let mut world = World::new();
+        let (asks, session) = (Body::SetUp(wish("free")), 0xabc);
+        let message = |body| Message { session, body };
+        world.desk.viewer_said(world.now, VIEWERS, message(asks), world.now);
+        match closes {
+            true => world.desk.viewer_gone(world.now, VIEWERS),
+            false => {
+                world.desk.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now)
+            }
+        }
+        assert!(!world.desk.decide(world.now), "nothing is left to decide");
+        world.perform();
+        assert!(order_of(&world, session).is_empty() && world.said.is_empty());
+        assert_eq!(world.desk.in_hand(), 0);
+    }
+}
+
+#[test]
+fn the_time_of_a_request_runs_from_when_it_was_read() {
+    let mut world = World::new();
+    let (read, session) = (world.now, 0xabc);
+    let message = Message { session, body: Body::SetUp(wish("paid")) };
+    world.desk.viewer_said(read, VIEWERS, message, read);
+    // It waits two of its three seconds for a decision.
+    world.now = world.now + lemontide::clock::Span::of(2.0);
+    assert!(world.desk.decide(world.now));
+    world.perform();
+    let mut sent_on = world.written.iter().filter(|(_, message)| message.session == session);
+    let Some((_, Message { body: Body::SetUp(set_up), .. })) = sent_on.next() else {
+        panic!("it is sent on")
+    };
+    assert!(set_up.wait_ms < 1000, "its streamer has {} ms", set_up.wait_ms);
+}
--- a/crates/lemontide-platform/tests/settings.rs
+++ b/crates/lemontide-platform/tests/settings.rs
@@ -34,7 +34,8 @@
     for session in 1..100 {
         now = now + Span::of_millis(50);
         let lane = if session % 2 == 0 { "free" } else { "paid" };
-        desk.viewer_said(now, 1, Message { session, body: Body::SetUp(wish(lane)) });
+        desk.viewer_said(now, 1, Message { session, body: Body::SetUp(wish(lane)) }, now);
+        assert!(desk.decide(now));
         while !desk.effects.is_empty() {
             for effect in std::mem::take(&mut desk.effects) {
                 match effect {
