What is asked and not decided keeps its connection and a stopping process

Found on reading the change before: a request that waits for its decision was no part of in_hand and open (serve.rs ends a stopping process on them) nor of an idle connection (Desk::spare, make_room), so that a stop or a cap could have dropped it unanswered. Counted now on its connection and in hand; the test fails without either.

--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -193,6 +193,8 @@
 struct Conn {
     /// Set-ups on it that are owed an answer.
     open: usize,
+    /// What was asked on it and is not decided.
+    asked: usize,
     /// A subscription was set up on it.
     good: bool,
     said: Point,
@@ -204,6 +206,13 @@
     turned_away: VecDeque<u64>,
 }
 
+impl Conn {
+    /// Whether nothing that came on it is owed an answer.
+    fn is_idle(&self) -> bool {
+        self.open == 0 && self.asked == 0
+    }
+}
+
 pub struct Desk {
     module: Controller,
     terms: Terms,
@@ -269,13 +278,14 @@
         [due, self.wake].into_iter().flatten().fold(beat, Point::min)
     }
 
+    /// Subscriptions and wishes in hand, also those that are only asked for.
     pub fn in_hand(&self) -> usize {
-        self.held.len()
+        self.held.len() + self.asked.len()
     }
 
     /// Wishes that are owed an answer.
     pub fn open(&self) -> usize {
-        self.held.values().filter(|held| held.playing.is_none()).count()
+        self.held.values().filter(|held| held.playing.is_none()).count() + self.asked.len()
     }
 
     /// What viewers ask for that is not decided yet.
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -14,8 +14,15 @@
 
 impl Desk {
     pub fn viewer_up(&mut self, now: Point, conn: u64) {
-        let new =
-            Conn { open: 0, good: false, said: now, heard: 0, retiring: false, turned_away: VecDeque::new() };
+        let new = Conn {
+            open: 0,
+            asked: 0,
+            good: false,
+            said: now,
+            heard: 0,
+            retiring: false,
+            turned_away: VecDeque::new(),
+        };
         self.conns.insert(conn, new);
     }
 
@@ -35,7 +42,7 @@
 
     /// The connection to end first where there are too many: idle for longest, before those that were of use.
     pub fn spare(&self) -> Option<u64> {
-        let idle = self.conns.iter().filter(|(_, conn)| conn.open == 0 && !conn.retiring);
+        let idle = self.conns.iter().filter(|(_, conn)| conn.is_idle() && !conn.retiring);
         idle.min_by_key(|(_, conn)| (conn.good, conn.said)).map(|(conn, _)| *conn)
     }
 
@@ -92,6 +99,7 @@
                 if matches!(&body, Body::SetUp(set_up) if set_up.plays_at().is_none()) {
                     tracing::trace!(target: "request", session = format!("{session:016x}"), conn, "read");
                 }
+                from.asked += 1;
                 self.asked.push_back(Asked { conn, session, body, read, late: self.late });
                 return;
             }
@@ -103,6 +111,7 @@
                 if let Some(place) = self.asked.iter().position(asked) {
                     // Cancelled before anything was decided: no answer is owed.
                     self.asked.remove(place);
+                    from.asked = from.asked.saturating_sub(1);
                     return;
                 }
                 let id = self.by_session.get(&session).copied();
@@ -128,6 +137,9 @@
     /// Decides the first of what viewers asked for; false where nothing waits.
     pub fn decide(&mut self, now: Point) -> bool {
         let Some(Asked { conn, session, body, read, late }) = self.asked.pop_front() else { return false };
+        if let Some(from) = self.conns.get_mut(&conn) {
+            from.asked = from.asked.saturating_sub(1);
+        }
         match body {
             Body::SetUp(set_up) => self.set_up(now, conn, session, set_up, (read, late)),
             Body::Unusable(why) => {
@@ -292,7 +304,7 @@
         let from = self.conns.get(&conn);
         if from.is_some_and(|from| from.turned_away.contains(&session)) {
             self.refuse(now, conn, session);
-            if self.conns.get(&conn).is_some_and(|from| from.open == 0) {
+            if self.conns.get(&conn).is_some_and(Conn::is_idle) {
                 self.part(now, conn);
             }
             return;
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -202,3 +202,18 @@
     };
     assert!(set_up.wait_ms < 1000, "its streamer has {} ms", set_up.wait_ms);
 }
+
+#[test]
+fn what_is_asked_and_not_decided_keeps_its_connection_and_its_process() {
+    let mut world = World::new();
+    let (in_hand, open) = (world.desk.in_hand(), world.desk.open());
+    assert_eq!(world.desk.spare(), Some(VIEWERS), "nothing is open on it");
+    let message = |body| Message { session: 0xabc, body };
+    world.desk.viewer_said(world.now, VIEWERS, message(Body::SetUp(wish("free"))), world.now);
+    assert_eq!((world.desk.in_hand(), world.desk.open()), (in_hand + 1, open + 1));
+    world.desk.make_room();
+    world.perform();
+    assert!(world.desk.spare().is_none() && world.retired.is_empty(), "it is not idle");
+    world.desk.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now);
+    assert_eq!((world.desk.in_hand(), world.desk.spare()), (in_hand, Some(VIEWERS)));
+}
