Two tests of the answer's way no longer lean on the machine's speed

Seen on reading: an_answer_leaves_before_anything_new_is_decided slept 20 ms for its streamer's words to be written, and idle_connections_wake_nobody held a count against a time that it did not measure.

--- a/crates/lemontide-cli/tests/crossings.rs
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -576,7 +576,12 @@
         }
         served.say((at, link), session, answer()).await;
         // All of it is in the sockets of the process once the other ends have written it.
-        sleep(Duration::from_millis(20)).await;
+        let written = async {
+            while !served.streamers[at].links[link].is_said() {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(SOON, written).await.expect("written");
         served.go_on();
         let answered = async { viewer.hear().await.expect("answered").session };
         let first = tokio::select! {
@@ -615,11 +620,12 @@
         let line = status.lines().find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"));
         line.and_then(|n| n.trim().parse::<u64>().ok()).expect("a number")
     };
-    let before = woken();
+    let (before, since) = (woken(), Instant::now());
     sleep(Duration::from_millis(1500)).await;
-    let times = woken() - before;
-    println!("woken {times} times in 1.5 s with {CONNECTIONS} idle connections");
-    assert!(times < 150, "woken {times} times");
+    // However late this test itself goes on: its own beats come ten times a second.
+    let (times, seconds) = (woken() - before, since.elapsed().as_secs_f64());
+    println!("woken {times} times in {seconds:.2} s with {CONNECTIONS} idle connections");
+    assert!((times as f64) < 100.0 * seconds, "woken {times} times in {seconds:.2} s");
 }
 
 /// Each request leaves one line in the log at its end, with how long each step took.
--- a/crates/lemontide-standin/src/platform.rs
+++ b/crates/lemontide-standin/src/platform.rs
@@ -138,6 +138,11 @@
         self.write(&bytes).await
     }
 
+    /// Whether the task has taken all that was to be said. It writes what it takes at once, in the same step.
+    pub fn is_said(&self) -> bool {
+        self.say.capacity() == self.say.max_capacity()
+    }
+
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.say.send(bytes.to_vec()).await.map_err(|_| io::ErrorKind::BrokenPipe.into())
     }
