--- a/crates/lemontide-cli/tests/crossings.rs
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -1,196 +1,20 @@
 //! Two events that cross in the running process, the crossing forced: a process that is stopped by a signal finds both
 //! on its sockets at once when it goes on.
 
-use bytes::Bytes;
-use lemontide::interface::Load;
-use lemontide_platform::codec::{cause, Body, Figures, Message, SetUp};
-use lemontide_standin::platform::{settings, Attended, End, Journal, SOON};
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
-use serde_json::{json, Value as Json};
+mod common;
+
+use common::{answer, passes, server, set_up, spawn, spawn_logging, Served, Streamer};
+use lemontide_platform::codec::{cause, Body, Message};
+use lemontide_standin::platform::{End, Journal, SOON};
+use nix::sys::signal::Signal;
+use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::process::{Child, Command};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// Controllers started so far.
-static STARTED: AtomicU32 = AtomicU32::new(0);
-
-/// A streamer in the test: every connection is attended to, and what comes on any of them comes here.
-struct Streamer {
-    listener: TcpListener,
-    links: Vec<Attended>,
-}
-
-/// A controller as a process, with the ends around it.
-struct Served {
-    process: Child,
-    listen: SocketAddr,
-    journal: Journal,
-    streamers: Vec<Streamer>,
-    config: Json,
-    folder: tempfile::TempDir,
-}
-
-impl Served {
-    /// Starts one with so many streamers; `change` may change its configuration.
-    async fn start(streamers: usize, change: impl Fn(&mut Json)) -> Served {
-        let folder = tempfile::tempdir().expect("a folder");
-        let journal = Journal::start().await.expect("a port");
-        let mut all = Vec::new();
-        let mut servers = Vec::new();
-        for at in 0..streamers {
-            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
-            servers.push(server(at, &listener, "in_service"));
-            all.push(Streamer { listener, links: Vec::new() });
-        }
-        // An address of its own: on the common one another's connection may take the port during a restart.
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let own = Ipv4Addr::new(127, 77, (number / 250) as u8, (number % 250) as u8 + 1);
-        let free = std::net::TcpListener::bind((own, 0)).expect("a free port");
-        let listen = free.local_addr().expect("it is bound");
-        drop(free);
-        let mut settings = settings();
-        settings["policy_limits"]["try_limit"] = json!(4);
-        let mut config = json!({"listen": listen, "seed": "1", "settings": settings,
-            "limits": {"sockets": 1024}, "journal": journal.address().expect("it is bound").to_string(),
-            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"full": true, "servers": servers}}]}});
-        change(&mut config);
-        let process = spawn(folder.path(), &config, listen);
-        Served { process, listen, journal, streamers: all, config, folder }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = self.process.id().expect("it runs");
-        kill(Pid::from_raw(pid as i32), signal).expect("sent");
-    }
-
-    /// Stops the process until `go_on`, so that it finds at once whatever comes in between.
-    async fn hold(&self) {
-        self.signal(Signal::SIGSTOP);
-        // The signal is sent; the process stands still once the kernel says so.
-        let pid = self.process.id().expect("it runs");
-        let stands =
-            || std::fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|s| s.contains(") T "));
-        let held = async {
-            while !stands() {
-                sleep(Duration::from_millis(1)).await;
-            }
-        };
-        timeout(SOON, held).await.expect("it stands still");
-    }
-
-    fn go_on(&self) {
-        self.signal(Signal::SIGCONT);
-    }
-
-    async fn viewer(&self) -> End {
-        End::viewer(self.listen).await.expect("it listens")
-    }
-
-    /// The next message that is no test from any streamer, with the streamer and its connection.
-    async fn next(&mut self) -> Option<(usize, usize, Message)> {
-        self.next_within(SOON).await
-    }
-
-    async fn next_within(&mut self, within: Duration) -> Option<(usize, usize, Message)> {
-        let until = Instant::now() + within;
-        loop {
-            for (at, streamer) in self.streamers.iter_mut().enumerate() {
-                let accepted = timeout(Duration::from_millis(1), streamer.listener.accept());
-                if let Ok(Ok((socket, _))) = accepted.await {
-                    streamer.links.push(End::of(socket).attend());
-                }
-                for (link, attended) in streamer.links.iter_mut().enumerate() {
-                    if let Some(message) = attended.try_news() {
-                        return Some((at, link, message));
-                    }
-                }
-            }
-            if Instant::now() >= until {
-                return None;
-            }
-        }
-    }
-
-    async fn say(&mut self, at: (usize, usize), session: u64, body: Body) {
-        self.streamers[at.0].links[at.1].say(session, body).await.expect("sent");
-    }
-
-    async fn ends(mut self) -> std::process::ExitStatus {
-        timeout(SOON * 2, self.process.wait()).await.expect("it ends").expect("waited for")
-    }
-}
-
-fn server(at: usize, listener: &TcpListener, state: &str) -> Json {
-    let addr = listener.local_addr().expect("it is bound").to_string();
-    json!({"id": format!("s{at}"), "addr": addr, "zone": "a", "kind": "std", "cell": 0, "state": state,
-        "weight": 1, "started_ms": 0})
-}
-
-fn spawn(folder: &std::path::Path, config: &Json, listen: SocketAddr) -> Child {
-    spawn_logging(folder, config, listen, None)
-}
-
-/// The same, with a line for every request in that file.
-fn spawn_logging(
-    folder: &std::path::Path,
-    config: &Json,
-    listen: SocketAddr,
-    log: Option<&std::path::Path>,
-) -> Child {
-    let file = folder.join("config.json");
-    std::fs::write(&file, config.to_string()).expect("written");
-    let most = config["limits"]["sockets"].as_u64().expect("a number");
-    // The descriptors are the platform's: no more than it says.
-    let mut command = Command::new("/bin/sh");
-    if let Some(log) = log {
-        let log = std::fs::File::create(log).expect("a file");
-        command.env("LEMONTIDE_LOG", "request=debug").stderr(log.try_clone().expect("a file")).stdout(log);
-    }
-    command
-        .arg("-c")
-        .arg(format!("ulimit -n {most}; exec {} serve", env!("CARGO_BIN_EXE_lemontide")))
-        .env("RELAY_CONFIG", &file)
-        .env("RELAY_LISTEN", listen.to_string())
-        .kill_on_drop(true)
-        .spawn()
-        .expect("it starts")
-}
-
-fn set_up(lane: &str, at: Option<&str>) -> Body {
-    let at = at.map(str::to_owned);
-    Body::SetUp(SetUp {
-        lane: lane.into(),
-        tenant: "acme".into(),
-        title: "t".into(),
-        wait_ms: 60_000,
-        figures: Some(Figures { home: 0, copies: 1, top: 1, again: false, at }),
-        description: Bytes::from_static(b"asked"),
-        ..SetUp::default()
-    })
-}
-
-fn answer() -> Body {
-    Body::Answer { description: Bytes::from_static(b"made"), load: Load::default() }
-}
-
-/// The controller passes a test on this connection: all that came on it before is heard.
-async fn passes(viewer: &mut End) {
-    viewer.say(u64::MAX, Body::Test).await.expect("sent");
-    loop {
-        let heard = viewer.hear().await.expect("told");
-        if heard.body == (Body::Tested { passed: true }) {
-            return;
-        }
-    }
-}
-
 /// Two thousand requests whose streamers send them back while the process stands still, for longer than the tenth of a
 /// second after which an attempt counts; half of their viewers have closed or cancelled by then. None of theirs may
 /// begin, all of the others do.
--- a/crates/lemontide-cli/tests/known_red.rs
+++ b/crates/lemontide-cli/tests/known_red.rs
@@ -21,17 +21,30 @@
 fn up_to_three_tests_may_be_named() {
     assert_eq!(read("").as_deref(), Some(""));
     assert_eq!(read("\n  \n").as_deref(), Some(""));
-    let list = "one | a cause, in words | 35\nfolder::two | another | 36\nthree | third | 1";
+    let list = "one | cargo test one, seed 7 | what was seen, in words | 35\n\
+                folder::two | another command | another fault | 36\nthree | a | b | 1";
     assert_eq!(read(list).as_deref(), Some("one\nfolder::two\nthree\n"));
 }
 
 #[test]
 fn a_fourth_a_malformed_line_and_what_names_no_test_are_refused() {
-    let four = "one | c | 1\nfolder::two | c | 1\nthree | c | 1\nfour | c | 1\n";
-    for list in [four, "one", "one | c", "one |  | 1", "one | c | ", "one | c | soon", "one two | c | 1"] {
+    let four = "one | c | s | 1\nfolder::two | c | s | 1\nthree | c | s | 1\nfour | c | s | 1\n";
+    let malformed = [
+        four,
+        "one",
+        "one | c",
+        "one | c | 1",
+        "one |  | s | 1",
+        "one | c |  | 1",
+        "one | c | s | ",
+        "one | c | s | soon",
+        "one | c | s | more | 1",
+        "one two | c | s | 1",
+    ];
+    for list in malformed {
         assert_eq!(read(list), None, "{list}");
     }
-    for list in ["none | c | 1\n", "on | c | 1\n", "two | c | 1\n", "same | c | 1\n"] {
+    for list in ["none | c | s | 1\n", "on | c | s | 1\n", "two | c | s | 1\n", "same | c | s | 1\n"] {
         assert_eq!(read(list), None, "{list}");
     }
 }
