--- a/crates/lemontide-cli/tests/crossings.rs
+++ b/crates/lemontide-cli/tests/crossings.rs
@@ -3,11 +3,11 @@
 
 mod common;
 
-use common::{answer, passes, server, set_up, spawn, spawn_logging, Served, Streamer};
-use lemontide_platform::codec::{cause, Body, Message};
+use common::{answer, passes, server, set_up, spawn, spawn_logging, Served};
+use lemontide_platform::codec::{cause, Body, SetUp};
 use lemontide_standin::platform::{End, Journal, SOON};
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{json, Value as Json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
--- /dev/null
+++ b/crates/lemontide-front/src/core/attempt.rs
@@ -0,0 +1,69 @@
+//! What proves that an attempt is over at its streamer. A request may have one attempt out at a time, so whoever begins
+//! another one must hold a `Proof` for the last. That an end was written to a socket, or that this end closed a
+//! connection, proves nothing: the streamer may not have read so far, and order holds within one connection only.
+
+use lemontide::interface::Ending;
+
+/// One connection to a streamer: the number of its link and that of the dial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Connection {
+    pub link: u64,
+    pub dial: u64,
+}
+
+/// Why an attempt is known to be over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// It was withdrawn before its first byte was written.
+    NeverBegan,
+    /// Its streamer said how it ended.
+    Answered,
+    /// Its streamer passed a test that came behind its end on its connection.
+    EndRead,
+    /// Its streamer acknowledged its end.
+    EndAcknowledged,
+    /// Its streamer closed its connection, which gives up what is open there.
+    ClosedByStreamer,
+}
+
+/// What is heard of a connection and may prove that attempts on it are over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// The streamer passed the test of this number.
+    TestPassed { test: u64 },
+    /// The streamer acknowledged the end of the attempt.
+    EndAcknowledged,
+    /// The streamer said how the attempt ended.
+    Answered,
+    /// The streamer closed or reset the connection.
+    ClosedByStreamer,
+}
+
+/// An attempt that was given up after it began, and is not known to be over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The connection that carried it.
+    pub on: Connection,
+    /// How it is told to the decision module.
+    pub ending: Ending,
+    /// Number of the test that was sent behind its end, where one could be sent.
+    pub test: Option<u64>,
+}
+
+impl GivenUp {
+    /// The proof that evidence from a connection gives, if any. Tests of one connection are numbered in order, and a
+    /// streamer passes them in order.
+    pub fn proof(&self, on: Connection, evidence: Evidence) -> Option<Proof> {
+        if on != self.on {
+            return None;
+        }
+        match evidence {
+            Evidence::TestPassed { test } => {
+                self.test.filter(|behind| *behind <= test).map(|_| Proof::EndRead)
+            }
+            Evidence::EndAcknowledged => Some(Proof::EndAcknowledged),
+            Evidence::Answered => Some(Proof::Answered),
+            Evidence::ClosedByStreamer => Some(Proof::ClosedByStreamer),
+        }
+    }
+}
--- a/crates/lemontide-front/src/core/mod.rs
+++ b/crates/lemontide-front/src/core/mod.rs
@@ -1,12 +1,14 @@
 //! The driver around the decision module, and what stands before it. No sockets, no files, no clock: time, ids and
 //! the seed come from outside, events are calls, and what has to be done is left in `effects`.
 
+mod attempt;
 mod doorway;
 mod driver;
 mod links;
 mod together;
 mod viewers;
 
+pub use attempt::{Connection, Evidence, GivenUp, Proof};
 pub use doorway::{Doorway, Pass};
 pub use driver::{Driver, Effect, Held, Refusal, Terms};
 pub use links::{Link, Queued, Verdict};
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -17,7 +17,7 @@
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
 use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage, Value, Wish};
-use lemontide_front::core::{Link, Queued, Verdict};
+use lemontide_front::core::{Connection, Evidence, GivenUp, Link, Proof, Queued, Verdict};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -30,7 +30,10 @@
 const LINK_BEAT: Span = Span::of_millis(100);
 /// A release that no connection could take is kept for so long.
 const OWED_FOR: Span = Span::of_millis(8000);
-/// Ends of what nobody has handed over yet that are remembered, and releases that wait for a streamer, at most.
+/// An attempt that was never proven over is remembered for so long after its request.
+const UNPROVEN_FOR: Span = Span::of_millis(8000);
+/// Ends of what nobody has handed over yet that are remembered, releases that wait for a streamer, and attempts that
+/// are not proven over, at most of each.
 const OVER_MOST: usize = 1024;
 
 /// What the platform states and the desk itself needs; the rest is the module's, in the sheet.
@@ -73,19 +76,18 @@
         conn: u64,
     },
     Dial {
-        link: u64,
-        dial: u64,
+        on: Connection,
         address: String,
     },
     Write {
-        link: u64,
-        dial: u64,
+        on: Connection,
         orders: Vec<Queued<Order>>,
     },
-    /// Close the connection of that dial.
+    /// Close a connection to a streamer. Where `awaits_close`, only this end's half of it at first, and the streamer's
+    /// own close is awaited for a while: it proves what was out there over.
     Hang {
-        link: u64,
-        dial: u64,
+        on: Connection,
+        awaits_close: bool,
     },
 }
 
@@ -100,18 +102,39 @@
     Broke,
 }
 
+/// Why this end closes a connection to a streamer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    Idle,
+    /// Nothing was heard on it for too long, or an order stayed unwritten.
+    Silent,
+    /// A set-up got no answer on it, and then nothing else came.
+    Unanswered,
+    /// Too many orders wait for it.
+    QueueFull,
+    AddressChanged,
+    StreamerGone,
+    MakesRoom,
+}
+
 /// An attempt that is out.
 struct Out {
     number: u32,
-    link: u64,
-    dial: u64,
+    /// The connection that carries it; none has these numbers before it is on one.
+    on: Connection,
     deadline: Point,
     not_after: Point,
     /// From the moment in which it begins it may have run.
     permit: Permit,
-    /// It is given up, and is told as this once its end is written or its connection is closed. Guards against two
-    /// attempts at once: the word that gives one up waits behind a slow batch, and the next leaves elsewhere.
-    ending: Option<Ending>,
+    /// It is given up, and the next attempt waits for a proof that it is over.
+    given_up: Option<GivenUp>,
+}
+
+/// An attempt whose request is over and that may still be out: nothing may be begun under its session.
+struct Unproven {
+    session: u64,
+    attempt: GivenUp,
+    until: Point,
 }
 
 /// A message for a streamer. One with a permit is written only where that may still begin.
@@ -167,8 +190,6 @@
     open: usize,
     /// A set-up got no answer on it: it must say something until then.
     suspect: Option<Point>,
-    /// Attempts that are given up here, each with the permit of the word that says so.
-    ends: Vec<(u32, u32, Permit)>,
 }
 
 /// How something ended that this controller did not hold.
@@ -185,8 +206,27 @@
     at: Rc<str>,
     session: u64,
     until: Point,
-    /// Of the word that is on its way, with its connection.
-    word: Option<(u64, u64, Permit)>,
+    sent: Option<SentEnd>,
+}
+
+/// A release that is on its way to a streamer.
+struct SentEnd {
+    on: Connection,
+    /// Number of the last test before it on its connection: the streamer has read it once it passes a later one.
+    after_test: u64,
+}
+
+impl End {
+    /// Whether evidence from a connection proves that the streamer has read it.
+    fn is_read(&self, on: Connection, session: Option<u64>, evidence: Evidence) -> bool {
+        let Some(sent) = self.sent.as_ref().filter(|sent| sent.on == on) else { return false };
+        match evidence {
+            Evidence::TestPassed { test } => test > sent.after_test,
+            Evidence::EndAcknowledged | Evidence::Answered => session == Some(self.session),
+            // What stands belongs to no connection, and stands on.
+            Evidence::ClosedByStreamer => false,
+        }
+    }
 }
 
 /// A viewers' connection.
@@ -237,8 +277,13 @@
     asked: VecDeque<Asked>,
     /// Ends of what stood that were heard before anybody handed it over, by their session.
     over: VecDeque<(u64, Over)>,
-    /// Releases for streamers that are not written yet.
+    /// Releases for streamers that are not known to be read.
     ends: VecDeque<End>,
+    unproven: VecDeque<Unproven>,
+    /// Connections that this end has done with, whose streamer's close is awaited: they hold a descriptor.
+    closing: BTreeSet<Connection>,
+    /// Number of the last test that was sent to a streamer.
+    last_test: u64,
     pub effects: Vec<Effect>,
 }
 
@@ -267,6 +312,9 @@
             asked: VecDeque::new(),
             over: VecDeque::new(),
             ends: VecDeque::new(),
+            unproven: VecDeque::new(),
+            closing: BTreeSet::new(),
+            last_test: 0,
             effects: Vec::new(),
         }
     }
@@ -318,6 +366,7 @@
             self.look_after_links(now, now - self.looked_after);
             self.looked_after = now;
             self.owed.retain(|(until, _)| now <= *until);
+            self.unproven.retain(|unproven| now <= unproven.until);
             self.end_again(now);
         }
         while let Some(Reverse((_, id, shot))) = self.due.peek().copied().filter(|r| r.0 .0 <= now) {
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -1,39 +1,69 @@
-//! The desk's part of attempts: each is sent, ends once, and the module is told the truth of it.
+//! The desk's part of attempts: each is sent, ends once, and the module is told the truth of it. The module places a
+//! request anew only from `attempt_over`, which takes the proof that the last attempt is over, and from `out_of_time`,
+//! after which there is no other.
 
 use super::*;
 
 /// A connection on which a set-up got no answer must pass a test within this time, or it is of no more use.
 const TEST_WAIT: Span = Span::of_millis(400);
-/// The end of an attempt that is given up must be written within this time, or its connection is closed; and must
-/// be closed within as long again, or the request goes on without.
-const END_WAIT: Span = Span::of_millis(60);
 
 impl Desk {
-    /// Takes an attempt back, from the queue or from the streamer; what is then to be told of it, and the permit of
-    /// the word that gives it up where one has to be written.
-    pub(super) fn give_up(
-        &mut self,
-        now: Point,
-        id: u32,
-        session: u64,
-        out: &Out,
-    ) -> (Ending, Option<Permit>) {
-        let (never_ran, wire) = (out.permit.withdraw(), self.wires.get_mut(&out.link));
-        if let Some(wire) = wire {
+    /// Takes back an attempt that has not begun, wherever it waits; true where it now never will.
+    fn withdraw(&mut self, id: u32, out: &Out) -> bool {
+        if !out.permit.withdraw() {
+            return false;
+        }
+        if let Some(wire) = self.wires.get_mut(&out.on.link) {
+            wire.open = wire.open.saturating_sub(1);
+            wire.link.withdraw((id, out.number));
+        }
+        true
+    }
+
+    /// Gives up an attempt that has begun; what is known of its end. Nothing is written yet.
+    fn give_up(&mut self, out: &mut Out, ending: Ending) -> GivenUp {
+        let on = out.on;
+        if let Some(wire) = self.wires.get_mut(&on.link).filter(|_| out.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
-            if never_ran {
-                wire.link.withdraw((id, out.number));
-            }
         }
-        if never_ran {
-            return (Ending::NotSent, None);
+        *out.given_up.get_or_insert(GivenUp { on, ending, test: None })
+    }
+
+    /// Tells a streamer that an attempt is given up, and sends a test behind it, whose number is returned: once it is
+    /// passed, the streamer has read that far. Where the connection takes no more, its close gives the attempt up.
+    fn write_end(&mut self, now: Point, session: u64, on: Connection) -> Option<u64> {
+        if !self.is_current(on) {
+            return None;
+        }
+        self.order(now, on.link, Message { session, body: Body::release(cause::NORMAL) });
+        self.is_current(on).then(|| self.send_test(now, on.link))
+    }
+
+    /// Remembers an attempt that may still be out though its request is over.
+    fn remember_unproven(&mut self, now: Point, session: u64, attempt: GivenUp) {
+        if self.unproven.len() >= OVER_MOST {
+            self.unproven.pop_front();
+        }
+        self.unproven.push_back(Unproven { session, attempt, until: now + UNPROVEN_FOR });
+    }
+
+    /// Whether an attempt under this session may still be out, though no request in hand has it.
+    pub(super) fn is_unproven(&self, session: u64) -> bool {
+        self.unproven.iter().any(|unproven| unproven.session == session)
+    }
+
+    /// Ends what is out of a request whose viewer is gone; how it is told to the module.
+    pub(super) fn abandon(&mut self, now: Point, id: u32, session: u64, mut out: Out) -> Ending {
+        if self.withdraw(id, &out) {
+            return Ending::NotSent;
         }
-        if out.ending.is_some() {
-            return (Ending::Cancelled, None);
+        let is_new = out.given_up.is_none();
+        let mut attempt = self.give_up(&mut out, Ending::Cancelled);
+        if is_new {
+            attempt.test = self.write_end(now, session, out.on);
         }
-        let word = Permit::new();
-        let message = Message { session, body: Body::release(cause::NORMAL) };
-        (Ending::Cancelled, self.order_with(now, out.link, message, Some(word.clone())).then_some(word))
+        self.remember_unproven(now, session, attempt);
+        Ending::Cancelled
     }
 
     pub(super) fn remove(&mut self, id: u32) -> Option<Held> {
@@ -51,8 +81,10 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         held.begun = held.out.as_ref().and_then(|out| out.permit.begun_at());
         let steps = Self::steps(held, Outcome::Plays, now);
-        if let Some(wire) = held.out.take().and_then(|out| self.wires.get_mut(&out.link)) {
-            wire.open = wire.open.saturating_sub(1);
+        if let Some(out) = held.out.take() {
+            if let Some(wire) = self.wires.get_mut(&out.on.link) {
+                wire.open = wire.open.saturating_sub(1);
+            }
         }
         held.playing = Some(now);
         held.set_up.description = Bytes::new();
@@ -74,50 +106,94 @@
         }
     }
 
-    /// An attempt's moment came: it was not written in time, or not answered in time, or its end is not written.
+    /// An attempt's moment came: it was not written in time, or not answered in time, or the request's time is over
+    /// before it is proven over.
     pub(super) fn overdue(&mut self, now: Point, id: u32, number: u32) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let (session, until) = (held.session, held.until);
-        let Some(out) = held.out.take_if(|out| out.number == number) else { return };
-        if out.ending.is_some() {
-            let (link, dial) = (out.link, out.dial);
-            held.out = Some(out);
-            if self.is_current(link, dial) {
-                // It does not take even a word: the close gives up what is out there.
-                self.due.push(Reverse((now + END_WAIT, id, number)));
-                return self.hang(now, link, Loss::Broke);
+        let Some(out) = held.out.as_ref().filter(|out| out.number == number) else { return };
+        let (on, has_begun) = (out.on, out.permit.has_begun());
+        if out.given_up.is_some() {
+            if now >= until {
+                self.out_of_time(now, id);
             }
-            return self.end_given_up(now, id, number);
-        }
-        if now >= out.not_after && out.permit.withdraw() {
-            self.give_up(now, id, session, &out);
-            self.ended(now, id, Ending::NoConnection, Load::default());
-        } else if out.permit.has_begun() && now >= out.deadline {
-            let (link, word) = (out.link, self.give_up(now, id, session, &out).1);
-            if let Some(wire) = self.wires.get_mut(&link).filter(|wire| wire.suspect.is_none()) {
-                wire.suspect = Some(now + TEST_WAIT);
-                self.order(now, link, Message { session: 0, body: Body::Test });
+        } else if !has_begun && now >= out.not_after {
+            self.never_began(now, vec![(id, number)], Ending::NoConnection);
+        } else if has_begun && now >= out.deadline {
+            self.give_up_in_hand(id, Ending::TimedOut);
+            let test = self.write_end(now, session, on);
+            self.suspect(now, on);
+            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
+            if let Some(given_up) = out.and_then(|out| out.given_up.as_mut()) {
+                given_up.test = test;
             }
-            let wire = self.wires.get_mut(&link).filter(|_| now < until);
-            let Some((wire, word)) = wire.zip(word) else {
-                return self.ended(now, id, Ending::TimedOut, Load::default());
-            };
-            // Another attempt may follow: not before this one's end is written.
-            wire.open += 1;
-            wire.ends.push((id, number, word));
-            let Some(held) = self.held.get_mut(&id) else { return };
-            held.out = Some(Out { ending: Some(Ending::TimedOut), ..out });
-            self.due.push(Reverse((now + END_WAIT, id, number)));
-        } else {
+            self.in_doubt(now, id);
+        }
+    }
+
+    /// A set-up got no answer on a connection: it must say something soon.
+    fn suspect(&mut self, now: Point, on: Connection) {
+        if !self.is_current(on) {
+            return;
+        }
+        if let Some(wire) = self.wires.get_mut(&on.link) {
+            wire.suspect = wire.suspect.or(Some(now + TEST_WAIT));
+        }
+    }
+
+    /// Gives up the attempt of a request in hand; nothing is written yet.
+    pub(super) fn give_up_in_hand(&mut self, id: u32, ending: Ending) {
+        let Some(mut out) = self.held.get_mut(&id).and_then(|held| held.out.take()) else { return };
+        self.give_up(&mut out, ending);
+        if let Some(held) = self.held.get_mut(&id) {
             held.out = Some(out);
         }
     }
 
-    /// The end of an attempt that was given up is written, or its connection is closed.
-    pub(super) fn end_given_up(&mut self, now: Point, id: u32, number: u32) {
-        let out = self.held.get(&id).and_then(|held| held.out.as_ref()).filter(|out| out.number == number);
-        if let Some(ending) = out.and_then(|out| out.ending) {
-            self.ended(now, id, ending, Load::default());
+    /// An attempt is given up and may still be out. The module may place the request anew once it is proven over; where
+    /// it would not do so anyway, the request is decided at once.
+    pub(super) fn in_doubt(&mut self, now: Point, id: u32) {
+        let Some(held) = self.held.get(&id) else { return };
+        let (handle, session, until) = (held.handle, held.session, held.until);
+        let Some(out) = held.out.as_ref() else { return };
+        let (number, given_up) = (out.number, out.given_up);
+        tracing::debug!(
+            target: "attempt", session = format!("{session:016x}"), number, ?given_up, "given up, not proven over"
+        );
+        if !handle.in_doubt(&mut self.module, now) {
+            return self.out_of_time(now, id);
+        }
+        self.due.push(Reverse((until, id, number)));
+    }
+
+    /// A request gets no other attempt, though its last is not proven over: the module gives its final answer.
+    fn out_of_time(&mut self, now: Point, id: u32) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(given_up) = held.out.take().and_then(|out| out.given_up) else { return };
+        let session = held.session;
+        self.remember_unproven(now, session, given_up);
+        self.tell_ended(now, id, given_up.ending, Load::default());
+    }
+
+    /// Something was heard of a connection that may prove attempts over: of one session, or of all that were there.
+    pub(super) fn learn_evidence(
+        &mut self,
+        now: Point,
+        on: Connection,
+        session: Option<u64>,
+        evidence: Evidence,
+    ) {
+        self.ends.retain(|end| !end.is_read(on, session, evidence));
+        let concerns = |of: u64| session.is_none_or(|session| session == of);
+        self.unproven
+            .retain(|unproven| !concerns(unproven.session) || unproven.attempt.proof(on, evidence).is_none());
+        let proven = |held: &Held| {
+            let given_up = held.out.as_ref()?.given_up.filter(|_| concerns(held.session))?;
+            Some((given_up.ending, given_up.proof(on, evidence)?))
+        };
+        let proven: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, proven(held)?))).collect();
+        for (id, (ending, proof)) in proven {
+            self.attempt_over(now, id, ending, Load::default(), proof);
         }
     }
 
@@ -126,40 +202,42 @@
         let wire = self.wires.get_mut(&link);
         let _ = wire.map(|wire| wire.link.withdraw_set_ups());
         let waits = |held: &Held| {
-            let out = held.out.as_ref().filter(|out| out.link == link && out.ending.is_none())?;
+            let out = held.out.as_ref().filter(|out| out.on.link == link && out.given_up.is_none())?;
             out.permit.withdraw().then_some(out.number)
         };
         self.held.iter().filter_map(|(id, held)| Some((*id, waits(held)?))).collect()
     }
 
-    /// These shots never left: they are ended as such, where they are still waited for.
-    pub(super) fn end_shots(&mut self, now: Point, shots: Vec<(u32, u32)>, ending: Ending) {
-        for (id, number) in shots {
+    /// These attempts never began, and never will: they are ended as such, where they are still waited for.
+    pub(super) fn never_began(&mut self, now: Point, attempts: Vec<(u32, u32)>, ending: Ending) {
+        for (id, number) in attempts {
             let out = self.held.get(&id).and_then(|held| held.out.as_ref());
-            if out.is_some_and(|out| out.number == number) {
-                self.ended(now, id, ending, Load::default());
+            let Some(out) = out.filter(|out| out.number == number && out.permit.withdraw()) else { continue };
+            if let Some(wire) = self.wires.get_mut(&out.on.link) {
+                wire.link.withdraw((id, number));
             }
+            self.attempt_over(now, id, ending, Load::default(), Proof::NeverBegan);
         }
     }
 
-    /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
-    pub(super) fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+    /// An attempt is proven over: the module is told, and may place the request anew.
+    pub(super) fn attempt_over(&mut self, now: Point, id: u32, ending: Ending, load: Load, proof: Proof) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        if let Some(out) = held.out.take() {
-            held.begun = out.permit.begun_at().or(held.begun);
-            if let Some(wire) = self.wires.get_mut(&out.link) {
-                wire.open = wire.open.saturating_sub(1);
-            }
+        let Some(out) = held.out.take() else { return };
+        held.begun = out.permit.begun_at().or(held.begun);
+        if let Some(wire) = self.wires.get_mut(&out.on.link).filter(|_| out.given_up.is_none()) {
+            wire.open = wire.open.saturating_sub(1);
         }
-        let (handle, plays) = (held.handle, held.playing.is_some());
         tracing::debug!(
-            target: "decision",
-            session = format!("{:016x}", held.session), streamer = &*held.at, ?ending, plays, ?load
+            target: "attempt",
+            session = format!("{:016x}", held.session), number = out.number, on = ?out.on, ?ending, ?proof, "over"
         );
-        handle.ended(&mut self.module, now, ending, plays, load);
-        if !plays {
-            return;
-        }
+        self.tell_ended(now, id, ending, load);
+    }
+
+    /// What plays is over: the module is told, and so is its viewer, where it is owed a release.
+    pub(super) fn stream_over(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+        self.tell_ended(now, id, ending, load);
         let Some(held) = self.remove(id) else { return };
         match ending {
             Ending::Served => self.release(now, held.conn, held.session, cause::NORMAL),
@@ -169,6 +247,17 @@
         }
     }
 
+    /// Tells the module how an attempt, or what plays, ended.
+    fn tell_ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+        let Some(held) = self.held.get(&id) else { return };
+        let (handle, plays) = (held.handle, held.playing.is_some());
+        tracing::debug!(
+            target: "decision",
+            session = format!("{:016x}", held.session), streamer = &*held.at, ?ending, plays, ?load
+        );
+        handle.ended(&mut self.module, now, ending, plays, load);
+    }
+
     /// Does what the module left to be done, until nothing is left.
     pub(super) fn carry_out(&mut self, now: Point) {
         loop {
@@ -227,7 +316,7 @@
         let id = shot.id;
         let Some((at, known)) = self.known.get_key_value(&*shot.streamer) else {
             // Guards against a request that waits for ever for an attempt at somebody who is not there.
-            return self.ended(now, id, Ending::NotSent, Load::default());
+            return self.tell_ended(now, id, Ending::NotSent, Load::default());
         };
         let (at, ready) = (at.clone(), known.entry.stage() == Stage::Ready);
         let link = self.best_link(&at);
@@ -256,24 +345,25 @@
             streamer = &*at, rung = held.rung, within_s = shot.within.seconds()
         );
         // No link has this number: it is not on one yet.
-        held.out = Some(Out { number, link: 0, dial: 0, deadline, not_after, permit, ending: None });
+        let on = Connection { link: 0, dial: 0 };
+        held.out = Some(Out { number, on, deadline, not_after, permit, given_up: None });
         if shot.within <= Span::ZERO || !ready {
-            return self.end_shots(now, vec![(id, number)], Ending::NotSent);
+            return self.never_began(now, vec![(id, number)], Ending::NotSent);
         }
         let Some(link) = link.or_else(|| self.redial(now, &at)) else {
             // Where this process has no descriptor left, that tells nothing of the streamer.
             let why = if self.has_room_to_dial() { Ending::NoConnection } else { Ending::NotSent };
-            return self.end_shots(now, vec![(id, number)], why);
+            return self.never_began(now, vec![(id, number)], why);
         };
         let Some(wire) = self.wires.get_mut(&link) else { return };
         let queued = Queued { order, shot: Some((id, number)), not_after: Some(not_after) };
         if wire.open >= self.terms.set_ups_a_link || !wire.link.push(queued) {
-            return self.end_shots(now, vec![(id, number)], Ending::NotSent);
+            return self.never_began(now, vec![(id, number)], Ending::NotSent);
         }
         wire.open += 1;
         let (busy, dial) = (wire.open > 1, wire.link.dial);
         if let Some(out) = self.held.get_mut(&id).and_then(|held| held.out.as_mut()) {
-            (out.link, out.dial) = (link, dial);
+            out.on = Connection { link, dial };
         }
         self.due.push(Reverse((not_after, id, number)));
         self.due.push(Reverse((deadline, id, number)));
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -7,14 +7,14 @@
 /// A streamer that can't be reached for so long no longer plays what stood there; the platform gives 8 s in all,
 /// of which a silent connection takes three.
 const DARK: Span = Span::of_millis(1200);
-/// A connection that is told to close is taken to be closed after so long, whatever its task reports.
-const CLOSE_WAIT: Span = Span::of_millis(60);
+/// Connections whose streamer's close is awaited at a time, at most.
+const CLOSING_MOST: usize = 32;
 
 impl Desk {
-    /// Tells a streamer that what stands there is over; again, where the connection goes before it is written. Guards
-    /// against streams that nobody watches.
+    /// Tells a streamer that what stands there is over; again, where the connection goes before the streamer is known
+    /// to have read it. Guards against streams that nobody watches.
     pub(super) fn end_at(&mut self, now: Point, at: &Rc<str>, session: u64) {
-        let mut end = End { at: at.clone(), session, until: now + OWED_FOR, word: None };
+        let mut end = End { at: at.clone(), session, until: now + OWED_FOR, sent: None };
         self.send_end(now, &mut end);
         if self.ends.len() >= OVER_MOST {
             self.ends.pop_front();
@@ -23,40 +23,49 @@
     }
 
     fn send_end(&mut self, now: Point, end: &mut End) {
-        end.word = None;
+        end.sent = None;
         let Some(link) = self.best_link(&end.at).or_else(|| self.redial(now, &end.at)) else { return };
-        let (word, message) =
-            (Permit::new(), Message { session: end.session, body: Body::release(cause::NORMAL) });
-        if self.order_with(now, link, message, Some(word.clone())) {
-            let dial = self.wires.get(&link).map_or(0, |wire| wire.link.dial);
-            end.word = Some((link, dial, word));
+        let Some(dial) = self.wires.get(&link).map(|wire| wire.link.dial) else { return };
+        let message = Message { session: end.session, body: Body::release(cause::NORMAL) };
+        self.order(now, link, message);
+        let on = Connection { link, dial };
+        if self.is_current(on) {
+            end.sent = Some(SentEnd { on, after_test: self.last_test });
         }
     }
 
-    /// Sends again what was not written before its connection went.
+    /// Sends again what may not have been read before its connection went.
     pub(super) fn end_again(&mut self, now: Point) {
         for mut end in std::mem::take(&mut self.ends) {
-            let written = end.word.as_ref().is_some_and(|(.., word)| word.has_begun());
-            if written || now > end.until || !self.known.contains_key(&end.at) {
+            if now > end.until || !self.known.contains_key(&end.at) {
                 continue;
             }
-            if !end.word.as_ref().is_some_and(|(link, dial, _)| self.is_current(*link, *dial)) {
+            if !end.sent.as_ref().is_some_and(|sent| self.is_current(sent.on)) {
                 self.send_end(now, &mut end);
             }
             self.ends.push_back(end);
         }
     }
 
-    pub(super) fn is_current(&self, link: u64, dial: u64) -> bool {
-        let link = self.wires.get(&link).map(|wire| &wire.link);
-        link.is_some_and(|link| link.dial == dial && (link.is_up() || link.is_dialling()))
+    /// Sends a test; its number.
+    pub(super) fn send_test(&mut self, now: Point, link: u64) -> u64 {
+        self.last_test += 1;
+        let test = self.last_test;
+        self.order(now, link, Message { session: test, body: Body::Test });
+        test
+    }
+
+    pub(super) fn is_current(&self, on: Connection) -> bool {
+        let link = self.wires.get(&on.link).map(|wire| &wire.link);
+        link.is_some_and(|link| link.dial == on.dial && (link.is_up() || link.is_dialling()))
     }
 
     /// A dial came through.
-    pub fn linked(&mut self, now: Point, link: u64, dial: u64) {
-        if !self.is_current(link, dial) {
+    pub fn linked(&mut self, now: Point, on: Connection) {
+        if !self.is_current(on) {
             return;
         }
+        let link = on.link;
         if let Some(wire) = self.wires.get_mut(&link) {
             wire.link.up(now);
             if let Some(known) = self.known.get_mut(&wire.at) {
@@ -66,45 +75,52 @@
         self.pump(now, link);
     }
 
-    /// A connection or a dial is over, and closed.
-    pub fn lost(&mut self, now: Point, link: u64, dial: u64, loss: Loss) {
-        let of = |out: &&Out| (out.link, out.dial) == (link, dial) && out.ending.is_some();
-        let out = |held: &Held| held.out.as_ref().filter(of).map(|out| out.number);
-        let given_up: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, out(held)?))).collect();
-        let current = self.is_current(link, dial);
-        if current {
-            self.lose(now, link, loss, true);
-        }
-        for (id, number) in &given_up {
-            self.end_given_up(now, *id, *number);
+    /// A connection or a dial is of no more use; `closed` follows when its socket is closed.
+    pub fn lost(&mut self, now: Point, on: Connection, loss: Loss) {
+        if !self.is_current(on) {
+            return;
         }
-        if current || !given_up.is_empty() {
+        let awaits_close = self.may_await_close(on);
+        self.effects.push(Effect::Hang { on, awaits_close });
+        self.lose(now, on.link, loss);
+        self.carry_out(now);
+    }
+
+    /// The socket of a connection is closed, by its streamer or by this end alone.
+    pub fn closed(&mut self, now: Point, on: Connection, by_streamer: bool) {
+        self.closing.remove(&on);
+        if by_streamer {
+            self.learn_evidence(now, on, None, Evidence::ClosedByStreamer);
             self.carry_out(now);
         }
     }
 
-    /// `closed` says that nothing more can leave on it; where it is only told to close, what has begun on it is
-    /// over with the close and not before.
-    pub(super) fn lose(&mut self, now: Point, link: u64, loss: Loss, closed: bool) {
+    /// Whether a streamer's close of this connection is worth awaiting, as an attempt may be out there. It keeps its
+    /// descriptor meanwhile.
+    fn may_await_close(&mut self, on: Connection) -> bool {
+        let is_out =
+            |held: &Held| held.out.as_ref().is_some_and(|out| out.on == on && out.permit.has_begun());
+        let is_up = self.wires.get(&on.link).is_some_and(|wire| wire.link.is_up());
+        let awaits = is_up && self.closing.len() < CLOSING_MOST && self.held.values().any(is_out);
+        awaits && self.closing.insert(on)
+    }
+
+    fn lose(&mut self, now: Point, link: u64, loss: Loss) {
         let chance = self.chance.random::<f64>();
         let waiting = self.withdraw_waiting(link);
         let Some(wire) = self.wires.get_mut(&link) else { return };
         let at = wire.at.clone();
         wire.link.down(now, chance);
         wire.suspect = None;
-        wire.ends.clear();
         wire.link.withdraw_all();
         tracing::info!(target: "streamers", streamer = &*at, ?loss, waiting = waiting.len(), "link lost");
-        let mut broken = Vec::new();
-        for (id, held) in &mut self.held {
-            if let Some(out) = held.out.as_mut().filter(|out| out.link == link && out.permit.has_begun()) {
-                if !closed {
-                    out.ending = out.ending.or(Some(Ending::Broken));
-                    self.due.push(Reverse((now + CLOSE_WAIT, *id, out.number)));
-                } else if out.ending.is_none() {
-                    broken.push(*id);
-                }
-            }
+        let begun = |held: &Held| {
+            let out = held.out.as_ref();
+            out.is_some_and(|out| out.on.link == link && out.given_up.is_none() && out.permit.has_begun())
+        };
+        let begun: Vec<u32> = self.held.iter().filter(|(_, held)| begun(held)).map(|(id, _)| *id).collect();
+        for id in &begun {
+            self.give_up_in_hand(*id, Ending::Broken);
         }
         let others = |known: &Known, wires: &BTreeMap<u64, Wire>| {
             known.links.iter().any(|l| *l != link && wires.get(l).is_some_and(|wire| wire.link.is_up()))
@@ -118,10 +134,10 @@
         let dark = alone.then(|| *known.dark.get_or_insert(now));
         let gone = known.entry.stage() == Stage::Gone;
         let at_once = |wire: &Wire| wire.link.idle.is_none() && wire.link.may_dial(now);
-        for id in broken {
-            self.ended(now, id, Ending::Broken, Load::default());
+        for id in begun {
+            self.in_doubt(now, id);
         }
-        self.end_shots(now, waiting, Ending::NoConnection);
+        self.never_began(now, waiting, Ending::NoConnection);
         if !kept {
             self.wires.remove(&link);
         }
@@ -139,33 +155,38 @@
     }
 
     /// The orders of the last batch are written, but for these set-ups, whose time was over: they never ran.
-    pub fn wrote(&mut self, now: Point, link: u64, dial: u64, unsent: Vec<(u32, u32)>) {
-        if !self.is_current(link, dial) {
+    pub fn wrote(&mut self, now: Point, on: Connection, unsent: Vec<(u32, u32)>) {
+        if !self.is_current(on) {
             return;
         }
-        if let Some(wire) = self.wires.get_mut(&link) {
+        if let Some(wire) = self.wires.get_mut(&on.link) {
             wire.link.wrote();
         }
-        self.end_shots(now, unsent, Ending::NotSent);
-        let written = |wire: &mut Wire| {
-            let (written, ends) =
-                std::mem::take(&mut wire.ends).into_iter().partition(|end| end.2.has_begun());
-            wire.ends = ends;
-            written
-        };
-        let written: Vec<(u32, u32, Permit)> = self.wires.get_mut(&link).map(written).unwrap_or_default();
-        for (id, number, _) in written {
-            self.end_given_up(now, id, number);
-        }
+        self.never_began(now, unsent, Ending::NotSent);
         self.carry_out(now);
-        self.pump(now, link);
+        self.pump(now, on.link);
+    }
+
+    /// What a streamer's message proves of attempts that were given up on its connection.
+    fn evidence_of(message: &Message) -> Option<(Option<u64>, Evidence)> {
+        match message.body {
+            Body::Tested { .. } => Some((None, Evidence::TestPassed { test: message.session })),
+            Body::Heard => Some((Some(message.session), Evidence::EndAcknowledged)),
+            Body::Release { .. } => Some((Some(message.session), Evidence::Answered)),
+            _ => None,
+        }
     }
 
     /// A streamer's word.
-    pub fn told(&mut self, now: Point, link: u64, dial: u64, message: Message) {
-        if !self.is_current(link, dial) {
+    pub fn told(&mut self, now: Point, on: Connection, message: Message) {
+        if !self.is_current(on) {
             return;
         }
+        let link = on.link;
+        if let Some((session, evidence)) = Self::evidence_of(&message) {
+            self.learn_evidence(now, on, session, evidence);
+            self.carry_out(now);
+        }
         let Some(wire) = self.wires.get_mut(&link) else { return };
         wire.link.heard(now);
         wire.suspect = None;
@@ -181,8 +202,7 @@
         };
         let (handle, plays) = (held.handle, held.playing.is_some());
         let waits = held.out.as_ref();
-        let waits =
-            waits.is_some_and(|out| out.link == link && out.ending.is_none() && out.permit.has_begun());
+        let waits = waits.is_some_and(|out| out.on == on && out.given_up.is_none() && out.permit.has_begun());
         if let Body::Release { cause, .. } = &message.body {
             tracing::debug!(target: "streamers", session = format!("{:016x}", message.session), cause, plays);
         }
@@ -197,7 +217,7 @@
                     // It may have run, and the process that says so is well: nothing is told of its health.
                     _ => Ending::Unknown,
                 };
-                self.ended(now, id, ending, load);
+                self.attempt_over(now, id, ending, load, Proof::Answered);
             }
             Body::Release { cause, load, .. } if plays => {
                 let ending = match cause {
@@ -205,7 +225,7 @@
                     cause::CANCELLED => Ending::Cancelled,
                     _ => Ending::Broken,
                 };
-                self.ended(now, id, ending, load);
+                self.stream_over(now, id, ending, load);
             }
             Body::Note(note) if plays => match note {
                 Note::Share(share) => handle.short(&mut self.module, now, share.clamp(0.0, 1.0)),
@@ -220,7 +240,8 @@
 
     pub(super) fn look_after_links(&mut self, now: Point, gap: Span) {
         // What plays or is out at a streamer needs a link there; a shot and a release dial for themselves.
-        let needs = |held: &&Held| held.playing.is_some() || held.out.is_some();
+        let is_out = |held: &Held| held.out.as_ref().is_some_and(|out| out.given_up.is_none());
+        let needs = |held: &&Held| held.playing.is_some() || is_out(held);
         let needed: BTreeSet<Rc<str>> =
             self.held.values().filter(needs).map(|held| held.at.clone()).collect();
         for at in &needed {
@@ -235,7 +256,7 @@
             if let Some(since) = wire.link.idle {
                 // Kept well short of the other end's own close, which a set-up could cross.
                 if now - since >= self.terms.idle_most {
-                    self.hang(now, link, Loss::Broke);
+                    self.hang(now, link, Loss::Broke, CloseReason::Idle);
                     continue;
                 }
                 // Nobody asks there: what was not reached then proves nothing of what plays there later.
@@ -250,11 +271,13 @@
             }
             let silent = wire.suspect.is_some_and(|until| now >= until);
             match verdict {
-                Verdict::Lost => self.hang(now, link, Loss::Broke),
-                _ if silent => self.hang(now, link, Loss::Broke),
+                Verdict::Lost => self.hang(now, link, Loss::Broke, CloseReason::Silent),
+                _ if silent => self.hang(now, link, Loss::Broke, CloseReason::Unanswered),
                 Verdict::Fine => {}
                 Verdict::Dial => self.dial(now, link),
-                Verdict::Ping => self.order(now, link, Message { session: 0, body: Body::Test }),
+                Verdict::Ping => {
+                    self.send_test(now, link);
+                }
             }
         }
     }
@@ -266,7 +289,7 @@
         }
         self.next_link += 1;
         known.links.push(self.next_link);
-        let wire = Wire { at: at.clone(), link: Link::new(now), open: 0, suspect: None, ends: Vec::new() };
+        let wire = Wire { at: at.clone(), link: Link::new(now), open: 0, suspect: None };
         self.wires.insert(self.next_link, wire);
         self.dial(now, self.next_link);
     }
@@ -279,14 +302,15 @@
         let Some(wire) = self.wires.get_mut(&link).filter(|_| room) else { return };
         let Some(known) = self.known.get(&wire.at) else { return };
         let dial = wire.link.start_dial(now, self.terms.dial_timeout);
-        self.effects.push(Effect::Dial { link, dial, address: known.entry.addr.clone() });
+        let on = Connection { link, dial };
+        self.effects.push(Effect::Dial { on, address: known.entry.addr.clone() });
     }
 
     /// Whether one more connection stays within the descriptors that are set apart for streamers. Guards against
     /// more streamers than descriptors: the list and the viewers have theirs, whatever plays.
     pub(super) fn has_room_to_dial(&self) -> bool {
         let live = |wire: &&Wire| wire.link.is_up() || wire.link.is_dialling();
-        self.wires.values().filter(live).count() < self.terms.links_most
+        self.wires.values().filter(live).count() + self.closing.len() < self.terms.links_most
     }
 
     /// Closes a connection that nothing needs, the one that is idle for longest first, or else one of several to the
@@ -299,15 +323,19 @@
         let all = self.wires.iter().filter(|(_, wire)| free(wire));
         let first = all.min_by_key(|(_, wire)| (wire.link.idle.is_none(), wire.link.idle));
         if let Some(link) = first.map(|(link, _)| *link) {
-            self.hang(now, link, Loss::Broke);
+            self.hang(now, link, Loss::Broke, CloseReason::MakesRoom);
         }
     }
 
-    pub(super) fn hang(&mut self, now: Point, link: u64, loss: Loss) {
+    /// Closes a connection from this end.
+    pub(super) fn hang(&mut self, now: Point, link: u64, loss: Loss, reason: CloseReason) {
         let Some(wire) = self.wires.get(&link) else { return };
         if wire.link.is_up() || wire.link.is_dialling() {
-            self.effects.push(Effect::Hang { link, dial: wire.link.dial });
-            self.lose(now, link, loss, false);
+            let on = Connection { link, dial: wire.link.dial };
+            let awaits_close = self.may_await_close(on);
+            tracing::debug!(target: "attempt", ?on, ?reason, awaits_close, "closes");
+            self.effects.push(Effect::Hang { on, awaits_close });
+            self.lose(now, link, loss);
         }
     }
 
@@ -321,28 +349,15 @@
 
     /// Puts an order that is no set-up on a link; one that takes none any more is of no use.
     pub(super) fn order(&mut self, now: Point, link: u64, message: Message) {
-        self.order_with(now, link, message, None);
-    }
-
-    /// The same with a permit that tells when it is written; whether it is on its way.
-    pub(super) fn order_with(
-        &mut self,
-        now: Point,
-        link: u64,
-        message: Message,
-        permit: Option<Permit>,
-    ) -> bool {
-        let Some(wire) = self.wires.get_mut(&link) else { return false };
+        let Some(wire) = self.wires.get_mut(&link) else { return };
         if !wire.link.is_up() && !wire.link.is_dialling() {
-            return false;
+            return;
         }
-        let pushed = wire.link.push(Queued { order: Order { message, permit }, shot: None, not_after: None });
-        if pushed {
+        if wire.link.push(Queued { order: Order { message, permit: None }, shot: None, not_after: None }) {
             self.pump(now, link);
         } else {
-            self.hang(now, link, Loss::Broke);
+            self.hang(now, link, Loss::Broke, CloseReason::QueueFull);
         }
-        pushed
     }
 
     /// Hands the next orders of a link to the I/O.
@@ -352,8 +367,8 @@
         if orders.is_empty() {
             return;
         }
-        let dial = wire.link.dial;
-        self.effects.push(Effect::Write { link, dial, orders });
+        let on = Connection { link, dial: wire.link.dial };
+        self.effects.push(Effect::Write { on, orders });
     }
 
     /// Dials a streamer that something is to be sent to at once, whatever wait is left.
--- a/crates/lemontide-platform/src/desk/list.rs
+++ b/crates/lemontide-platform/src/desk/list.rs
@@ -41,7 +41,7 @@
         if before.addr != entry.addr {
             // The process at the old address is not the one that the list means.
             for link in known.links.clone() {
-                self.hang(now, link, Loss::Refused);
+                self.hang(now, link, Loss::Refused, CloseReason::AddressChanged);
             }
         }
         if let Some(started) = entry.started().filter(|_| before.started() != entry.started()) {
@@ -59,7 +59,7 @@
             wire.link.wanted = stage != Stage::Gone;
             if stage != Stage::Ready {
                 let shots = self.withdraw_waiting(link);
-                self.end_shots(now, shots, Ending::NotSent);
+                self.never_began(now, shots, Ending::NotSent);
             }
         }
     }
@@ -79,7 +79,7 @@
             return;
         }
         for link in links {
-            self.hang(now, link, Loss::Broke);
+            self.hang(now, link, Loss::Broke, CloseReason::StreamerGone);
             self.wires.remove(&link);
         }
         self.known.remove(at);
@@ -90,7 +90,7 @@
         let there = |held: &Held| &*held.at == at && held.playing.is_some_and(&when);
         let ids: Vec<u32> = self.held.iter().filter(|(_, held)| there(held)).map(|(id, _)| *id).collect();
         for id in ids {
-            self.ended(now, id, Ending::Broken, Load::default());
+            self.stream_over(now, id, Ending::Broken, Load::default());
         }
     }
 }
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -298,7 +298,8 @@
             self.by_session.insert(session, id);
             return self.carry_out(now);
         }
-        if self.by_session.contains_key(&session) {
+        // An attempt under this number may be out: nobody could tell two apart.
+        if self.by_session.contains_key(&session) || self.is_unproven(session) {
             return self.refuse(now, conn, session);
         }
         let from = self.conns.get(&conn);
@@ -332,7 +333,7 @@
         }
         held.handle.left(&mut self.module);
         if let Some(out) = held.out.take() {
-            let ending = self.give_up(now, id, held.session, &out).0;
+            let ending = self.abandon(now, id, held.session, out);
             held.handle.ended(&mut self.module, now, ending, true, Load::default());
         }
         self.carry_out(now);
--- a/crates/lemontide-platform/src/reader.rs
+++ b/crates/lemontide-platform/src/reader.rs
@@ -91,10 +91,22 @@
         self.over
     }
 
-    /// Reads on until the other end closes; nothing of it is of use any more.
-    pub async fn discard(&mut self) -> io::Result<()> {
+    /// Reads on until the other end closes; nothing of it is of use any more. An error where it says more than `most`
+    /// bytes.
+    pub async fn discard(&mut self, most: usize) -> io::Result<()> {
         let mut bytes = [0; 2048];
-        while self.socket.read(&mut bytes).await? > 0 {}
-        Ok(())
+        let mut discarded = 0;
+        loop {
+            match self.socket.read(&mut bytes).await? {
+                0 => return Ok(()),
+                read => discarded += read,
+            }
+            if discarded > most {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    "it says too much to be read to its end",
+                ));
+            }
+        }
     }
 }
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -3,12 +3,13 @@
 
 use crate::config::{Config, Environment, Hosts};
 use crate::desk::{Desk, Effect, Order, Terms};
+use crate::streamers::Close;
 use crate::viewers::{Said, Word};
 use crate::{journal, streamers, viewers};
 use futures::FutureExt;
 use lemontide::clock::{Point, Span};
 use lemontide::interface::{number, text, Sheet};
-use lemontide_front::core::Queued;
+use lemontide_front::core::{Connection, Queued};
 use lemontide_wire::clock::Clock;
 use std::collections::HashMap;
 use std::io;
@@ -91,8 +92,11 @@
     })
 }
 
-/// A streamer's connection: the number of its dial, where batches for it go, and what closes it when dropped.
-type Orders = (u64, mpsc::Sender<Vec<Queued<Order>>>, oneshot::Sender<()>);
+/// A streamer's connection: where batches for it go, and what closes it, at the latest when dropped.
+struct Orders {
+    batches: mpsc::Sender<Vec<Queued<Order>>>,
+    close: oneshot::Sender<Close>,
+}
 
 /// The tasks that own the sockets, by what the desk calls them.
 struct Sockets {
@@ -101,7 +105,7 @@
     viewers: HashMap<u64, mpsc::Sender<Word>>,
     /// The tasks of viewers' connections: they outlast the loop until the last answer is out.
     writing: JoinSet<()>,
-    links: HashMap<u64, Orders>,
+    links: HashMap<Connection, Orders>,
     from_viewers: mpsc::Sender<viewers::Report>,
     from_streamers: mpsc::Sender<streamers::Report>,
 }
@@ -143,22 +147,15 @@
                     Effect::Part { conn } => {
                         self.viewers.remove(&conn);
                     }
-                    Effect::Dial { link, dial, address } => {
-                        let (orders, ordered) = mpsc::channel(ORDERS_MOST);
-                        let (stays, hang_up) = oneshot::channel();
-                        self.links.insert(link, (dial, orders, stays));
-                        let to = streamers::Dial { link, dial, address, timeout: self.dial_timeout };
-                        let reports = self.from_streamers.clone();
-                        tokio::spawn(streamers::run(self.clock, to, ordered, hang_up, reports));
-                    }
-                    Effect::Write { link, dial, orders } => {
-                        let wire = self.links.get(&link).filter(|wire| wire.0 == dial);
+                    Effect::Dial { on, address } => self.dial(on, address),
+                    Effect::Write { on, orders } => {
                         // The desk hands over one batch at a time: there is always room, or nobody is left.
-                        let _ = wire.map(|wire| wire.1.try_send(orders));
+                        let _ = self.links.get(&on).map(|wire| wire.batches.try_send(orders));
                     }
-                    Effect::Hang { link, dial } => {
-                        if self.links.get(&link).is_some_and(|wire| wire.0 == dial) {
-                            self.links.remove(&link);
+                    Effect::Hang { on, awaits_close } => {
+                        if let Some(wire) = self.links.remove(&on) {
+                            let how = if awaits_close { Close::AwaitStreamer } else { Close::AtOnce };
+                            let _ = wire.close.send(how);
                         }
                     }
                 }
@@ -167,6 +164,14 @@
         handed
     }
 
+    fn dial(&mut self, on: Connection, address: String) {
+        let (batches, ordered) = mpsc::channel(ORDERS_MOST);
+        let (close, closed) = oneshot::channel();
+        self.links.insert(on, Orders { batches, close });
+        let to = streamers::Dial { on, address, timeout: self.dial_timeout };
+        tokio::spawn(streamers::run(self.clock, to, ordered, closed, self.from_streamers.clone()));
+    }
+
     fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
         match report {
             viewers::Report::Said { conn, message, read } => desk.viewer_said(now, conn, message, read),
@@ -187,14 +192,13 @@
 
     fn of_streamer(&mut self, now: Point, desk: &mut Desk, report: streamers::Report) {
         match report {
-            streamers::Report::Linked { link, dial } => desk.linked(now, link, dial),
-            streamers::Report::Wrote { link, dial, unsent } => desk.wrote(now, link, dial, unsent),
-            streamers::Report::Told { link, dial, message } => desk.told(now, link, dial, message),
-            streamers::Report::Lost { link, dial, loss } => {
-                if self.links.get(&link).is_some_and(|wire| wire.0 == dial) {
-                    self.links.remove(&link);
-                }
-                desk.lost(now, link, dial, loss);
+            streamers::Report::Linked { on } => desk.linked(now, on),
+            streamers::Report::Wrote { on, unsent } => desk.wrote(now, on, unsent),
+            streamers::Report::Told { on, message } => desk.told(now, on, message),
+            streamers::Report::Lost { on, loss } => desk.lost(now, on, loss),
+            streamers::Report::Closed { on, by_streamer } => {
+                self.links.remove(&on);
+                desk.closed(now, on, by_streamer);
             }
         }
     }
--- a/crates/lemontide-platform/src/streamers.rs
+++ b/crates/lemontide-platform/src/streamers.rs
@@ -7,7 +7,7 @@
 use crate::reader::Reader;
 use bytes::{Buf, BytesMut};
 use lemontide::clock::Point;
-use lemontide_front::core::Queued;
+use lemontide_front::core::{Connection, Queued};
 use lemontide_wire::clock::Clock;
 use std::io;
 use std::time::Duration;
@@ -21,22 +21,62 @@
 /// can be read on that connection either, and set-ups wait on it.
 const WHOLE_WITHIN: Duration = Duration::from_millis(300);
 
+/// How long a streamer's own close of a connection is awaited, and how much is read meanwhile, in bytes.
+const CLOSE_WITHIN: Duration = Duration::from_secs(3);
+const DISCARD_MOST: usize = 256 * 1024;
+
 /// What a connection to a streamer reports.
 pub enum Report {
-    Linked { link: u64, dial: u64 },
-    Lost { link: u64, dial: u64, loss: Loss },
-    Wrote { link: u64, dial: u64, unsent: Vec<(u32, u32)> },
-    Told { link: u64, dial: u64, message: Message },
+    Linked {
+        on: Connection,
+    },
+    Wrote {
+        on: Connection,
+        unsent: Vec<(u32, u32)>,
+    },
+    Told {
+        on: Connection,
+        message: Message,
+    },
+    /// It is of no more use; `Closed` follows.
+    Lost {
+        on: Connection,
+        loss: Loss,
+    },
+    /// Its socket is closed. `by_streamer` says that the streamer closed or reset it, having read what it read.
+    Closed {
+        on: Connection,
+        by_streamer: bool,
+    },
+}
+
+/// How this end closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Close {
+    AtOnce,
+    /// The streamer's own close is awaited.
+    AwaitStreamer,
 }
 
-/// Where a connection goes: the link, the number of the dial, the address, and how long the dial may take.
+/// Where a connection goes, and how long the dial may take.
 pub struct Dial {
-    pub link: u64,
-    pub dial: u64,
+    pub on: Connection,
     pub address: String,
     pub timeout: Duration,
 }
 
+/// How the use of a connection ended.
+enum End {
+    /// The dial did not come through.
+    NoDial(Loss),
+    /// The streamer closed or reset it.
+    ByStreamer,
+    /// It can't be read or written any more; its reading half.
+    Unusable(Option<Reader>),
+    /// The desk closes it.
+    Told(Close, Option<Reader>),
+}
+
 /// The writing half: asks in the moment of writing whether a message may still begin.
 struct Writer {
     socket: OwnedWriteHalf,
@@ -82,80 +122,130 @@
             let written = self.write(clock, &queued).await?;
             let permit = queued.order.permit.as_ref();
             match queued.shot {
-                // Who waits for a word to be out learns it here.
-                None => {
-                    permit.map(Permit::begin);
-                }
                 Some(shot) if !written && permit.is_some_and(Permit::withdraw) => unsent.push(shot),
-                Some(_) => {}
+                _ => {}
             }
         }
         Ok(unsent)
     }
 }
 
-/// Runs one connection until it ends; it closes when the sender of `hang_up` is gone, whatever is being written. That it is over is reported once it is closed.
+/// Whether an error of a socket says that the other end closed or reset the connection.
+fn is_close(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionReset, UnexpectedEof};
+    matches!(error.kind(), BrokenPipe | ConnectionReset | UnexpectedEof)
+}
+
+/// Runs one connection until it is closed. It closes when `close` says so or its sender is gone, whatever is being
+/// written. That it is over is reported once it is closed.
 pub async fn run(
     clock: Clock,
     to: Dial,
     orders: mpsc::Receiver<Vec<Queued<Order>>>,
-    hang_up: oneshot::Receiver<()>,
+    mut close: oneshot::Receiver<Close>,
     reports: mpsc::Sender<Report>,
 ) {
-    let (link, dial) = (to.link, to.dial);
-    let loss = tokio::select! {
-        loss = attend(clock, to, orders, &reports) => loss,
-        _ = hang_up => Loss::Broke,
+    let on = to.on;
+    let (loss, reader) = match attend(clock, to, orders, &mut close, &reports).await {
+        End::Told(Close::AtOnce, _) => (None, None),
+        End::Told(Close::AwaitStreamer, reader) => (None, reader),
+        End::NoDial(loss) => (Some(loss), None),
+        End::ByStreamer => {
+            let _ = reports.send(Report::Lost { on, loss: Loss::Broke }).await;
+            let _ = reports.send(Report::Closed { on, by_streamer: true }).await;
+            return;
+        }
+        End::Unusable(reader) => (Some(Loss::Broke), reader),
+    };
+    let mut awaits_streamer = loss.is_none();
+    if let Some(loss) = loss {
+        let _ = reports.send(Report::Lost { on, loss }).await;
+        awaits_streamer = reader.is_some() && close.await == Ok(Close::AwaitStreamer);
+    }
+    let by_streamer = match reader {
+        Some(reader) if awaits_streamer => closes(reader).await,
+        _ => false,
     };
-    let _ = reports.send(Report::Lost { link, dial, loss }).await;
+    let _ = reports.send(Report::Closed { on, by_streamer }).await;
 }
 
-/// Dials and serves one connection; the socket is closed when this returns.
+/// Whether the streamer closes in time a connection of which this end has closed its half. What it still says is
+/// dropped.
+async fn closes(mut reader: Reader) -> bool {
+    match timeout(CLOSE_WITHIN, reader.discard(DISCARD_MOST)).await {
+        Ok(Ok(())) => true,
+        Ok(Err(e)) => is_close(&e),
+        Err(_) => false,
+    }
+}
+
+/// Dials and serves one connection. Its writing half is closed when this returns, and its reading half as well unless
+/// it is returned.
 async fn attend(
     clock: Clock,
     to: Dial,
     mut orders: mpsc::Receiver<Vec<Queued<Order>>>,
+    close: &mut oneshot::Receiver<Close>,
     reports: &mpsc::Sender<Report>,
-) -> Loss {
-    let Dial { link, dial, address, timeout: within } = to;
-    let socket = match timeout(within, TcpStream::connect(&address)).await {
-        Ok(Ok(socket)) => socket,
-        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => return Loss::Refused,
-        _ => return Loss::Dark,
+) -> End {
+    let Dial { on, address, timeout: within } = to;
+    let dial = timeout(within, TcpStream::connect(&address));
+    let socket = tokio::select! {
+        dialled = dial => match dialled {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => return End::NoDial(Loss::Refused),
+            _ => return End::NoDial(Loss::Dark),
+        },
+        told = &mut *close => return End::Told(told.unwrap_or(Close::AtOnce), None),
     };
     let _ = socket.set_nodelay(true);
-    if reports.send(Report::Linked { link, dial }).await.is_err() {
-        return Loss::Broke;
+    if reports.send(Report::Linked { on }).await.is_err() {
+        return End::Unusable(None);
     }
     let (read, write) = socket.into_split();
     let mut writer = Writer { socket: write, bytes: BytesMut::new() };
     let write = async {
         while let Some(batch) = orders.recv().await {
-            let Ok(unsent) = writer.write_all(clock, batch).await else { return };
-            if reports.send(Report::Wrote { link, dial, unsent }).await.is_err() {
-                return;
+            let unsent = writer.write_all(clock, batch).await?;
+            if reports.send(Report::Wrote { on, unsent }).await.is_err() {
+                break;
             }
         }
+        Ok(())
     };
-    let read = async {
-        let mut frames = Reader::new(read, WHOLE_WITHIN);
-        loop {
-            match frames.next(None).await {
-                Ok(message) => {
-                    if reports.send(Report::Told { link, dial, message }).await.is_err() {
-                        return;
-                    }
-                }
-                Err(e) => {
-                    tracing::info!(target: "streamers", address, error = %e, "connection over");
-                    return;
+    let mut reader = Reader::new(read, WHOLE_WITHIN);
+    let read = read_all(on, &address, &mut reader, reports);
+    let ended: io::Result<()> = tokio::select! {
+        written = write => written,
+        read = read => read,
+        told = close => return End::Told(told.unwrap_or(Close::AtOnce), Some(reader)),
+    };
+    match ended {
+        Err(e) if is_close(&e) => End::ByStreamer,
+        // The socket is dead, and nothing more is heard of the streamer on it.
+        Err(e) if e.raw_os_error().is_some() => End::Unusable(None),
+        _ => End::Unusable(Some(reader)),
+    }
+}
+
+/// Reports what a streamer says until the connection is over or can't be read.
+async fn read_all(
+    on: Connection,
+    address: &str,
+    reader: &mut Reader,
+    reports: &mpsc::Sender<Report>,
+) -> io::Result<()> {
+    loop {
+        match reader.next(None).await {
+            Ok(message) => {
+                if reports.send(Report::Told { on, message }).await.is_err() {
+                    return Ok(());
                 }
             }
+            Err(e) => {
+                tracing::info!(target: "streamers", address, error = %e, "connection over");
+                return Err(e);
+            }
         }
-    };
-    tokio::select! {
-        () = write => {}
-        () = read => {}
     }
-    Loss::Broke
 }
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -152,7 +152,7 @@
     }
     let _ = reports.send(Report::Gone { conn, unsaid: unsaid.into() }).await;
     if matches!(end, End::Ours) {
-        let _ = timeout(LINGER, frames.discard()).await;
+        let _ = timeout(LINGER, frames.discard(usize::MAX)).await;
     }
 }
 
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use lemontide::clock::{Point, Span};
 use lemontide::interface::Load;
-use lemontide_front::core::Queued;
+use lemontide_front::core::{Connection, Queued};
 use lemontide_platform::codec::{cause, Body, Figures, Message, SetUp};
 use lemontide_platform::config::{Entry, Hosts};
 use lemontide_platform::desk::{Desk, Effect, Loss, Order};
@@ -77,10 +77,14 @@
     pub away: HashMap<String, Loss>,
     /// Connections that take nothing for now and do not close, and the batches that wait for them.
     pub slow: BTreeSet<u64>,
-    pub batches: Vec<(u64, u64, Vec<Queued<Order>>)>,
-    /// Connections close only with `close_all`, and those that were told to.
+    pub batches: Vec<(Connection, Vec<Queued<Order>>)>,
+    /// Links whose streamer reads nothing for now, and the tests that it has not read.
+    pub unread: BTreeSet<u64>,
+    pub unread_tests: Vec<(Connection, u64)>,
+    /// Connections close only with `close_all`, and those that were told to, with whether the streamer's close of
+    /// them is awaited.
     pub late_close: bool,
-    pub closing: Vec<(u64, u64)>,
+    pub closing: Vec<(Connection, bool)>,
     /// Dials from now on neither come through nor end.
     pub stuck: bool,
     next: u64,
@@ -109,6 +113,8 @@
             away: HashMap::new(),
             slow: BTreeSet::new(),
             batches: Vec::new(),
+            unread: BTreeSet::new(),
+            unread_tests: Vec::new(),
             late_close: false,
             closing: Vec::new(),
             stuck: false,
@@ -181,8 +187,7 @@
     }
 
     pub fn tell_on(&mut self, link: u64, session: u64, body: Body) {
-        let dial = self.dials.get(&link).copied().unwrap_or(0);
-        self.desk.told(self.now, link, dial, Message { session, body });
+        self.desk.told(self.now, self.on(link), Message { session, body });
         self.perform();
     }
 
@@ -195,12 +200,41 @@
         self.tell(session, Body::release(why));
     }
 
+    /// The connection of the link's last dial.
+    pub fn on(&self, link: u64) -> Connection {
+        Connection { link, dial: self.dials.get(&link).copied().unwrap_or(0) }
+    }
+
+    /// The streamer closes a connection, or a dial ends.
     pub fn loses(&mut self, link: u64, loss: Loss) {
-        let dial = self.dials.get(&link).copied().unwrap_or(0);
-        self.desk.lost(self.now, link, dial, loss);
+        let on = self.on(link);
+        self.desk.lost(self.now, on, loss);
+        self.desk.closed(self.now, on, loss == Loss::Broke);
+        self.perform();
+    }
+
+    /// A link's streamer reads what lies unread, and passes the tests in it.
+    pub fn reads(&mut self, link: u64) {
+        self.unread.remove(&link);
+        let (read, unread) =
+            std::mem::take(&mut self.unread_tests).into_iter().partition(|t| t.0.link == link);
+        self.unread_tests = unread;
+        for (on, test) in read {
+            self.passes(on, test);
+        }
         self.perform();
     }
 
+    fn passes(&mut self, on: Connection, test: u64) {
+        let passed = Message { session: test, body: Body::Tested { passed: true } };
+        self.desk.told(self.now, on, passed);
+    }
+
+    /// Whether the streamer at the other end of a link reads what comes.
+    fn is_read(&self, link: u64) -> bool {
+        !self.unread.contains(&link) && !self.away.contains_key(&self.address[&link])
+    }
+
     /// All that was said to viewers under this number.
     pub fn heard(&self, session: u64) -> Vec<&Body> {
         self.said.iter().filter(|(_, m)| m.session == session).map(|(_, m)| &m.body).collect()
@@ -223,11 +257,11 @@
         let until = self.now + Span::of(seconds);
         while self.now < until {
             self.now = self.now + Span::of_millis(10);
-            // Streamers pass tests, so that links stay up.
+            // Streamers say something now and then, so that links stay up.
             for (link, dial) in self.dials.clone() {
-                let test = Message { session: 0, body: Body::Tested { passed: true } };
-                if !self.away.contains_key(&self.address[&link]) {
-                    self.desk.told(self.now, link, dial, test);
+                if self.is_read(link) {
+                    let word = Message { session: 0, body: Body::Progress };
+                    self.desk.told(self.now, Connection { link, dial }, word);
                 }
             }
             if self.now >= self.desk.next() {
@@ -244,31 +278,34 @@
                     Effect::Say { conn, message, .. } => self.said.push((conn, message)),
                     Effect::Part { conn } => self.parted.push(conn),
                     Effect::Retire { conn, heard } => self.retired.push((conn, heard)),
-                    Effect::Dial { link, dial, address } => {
-                        self.dials.insert(link, dial);
+                    Effect::Dial { on, address } => {
+                        self.dials.insert(on.link, on.dial);
                         let away = self.away.get(&address).copied();
-                        self.address.insert(link, address);
+                        self.address.insert(on.link, address);
                         match away {
                             _ if self.stuck => {}
-                            Some(loss) => self.desk.lost(self.now, link, dial, loss),
-                            None => self.desk.linked(self.now, link, dial),
+                            Some(loss) => {
+                                self.desk.lost(self.now, on, loss);
+                                self.desk.closed(self.now, on, false);
+                            }
+                            None => self.desk.linked(self.now, on),
                         }
                     }
-                    Effect::Write { link, dial, orders } => {
-                        assert_eq!(self.dials.get(&link), Some(&dial), "written on what is up");
-                        if self.slow.contains(&link) {
-                            self.batches.push((link, dial, orders));
+                    Effect::Write { on, orders } => {
+                        assert_eq!(self.dials.get(&on.link), Some(&on.dial), "written on what is up");
+                        if self.slow.contains(&on.link) {
+                            self.batches.push((on, orders));
                         } else {
-                            self.write(link, dial, orders);
+                            self.write(on, orders);
                         }
                     }
-                    Effect::Hang { link, dial } => {
-                        self.hung.push(link);
-                        self.batches.retain(|batch| (batch.0, batch.1) != (link, dial));
+                    Effect::Hang { on, awaits_close } => {
+                        self.hung.push(on.link);
+                        self.batches.retain(|batch| batch.0 != on);
                         if self.late_close {
-                            self.closing.push((link, dial));
+                            self.closing.push((on, awaits_close));
                         } else {
-                            self.desk.lost(self.now, link, dial, Loss::Broke);
+                            self.desk.closed(self.now, on, awaits_close && self.is_read(on.link));
                         }
                     }
                 }
@@ -276,18 +313,27 @@
         }
     }
 
-    /// What a connection's task does with a batch.
-    pub fn write(&mut self, link: u64, dial: u64, orders: Vec<Queued<Order>>) {
+    /// What a connection's task does with a batch, and the streamer with what it reads of it.
+    pub fn write(&mut self, on: Connection, orders: Vec<Queued<Order>>) {
         let may = |queued: &Queued<Order>| queued.order.permit.as_ref().is_none_or(Permit::begin);
-        let written = orders.into_iter().filter(may).map(|queued| (link, queued.order.message));
-        self.written.extend(written);
-        self.desk.wrote(self.now, link, dial, Vec::new());
+        let written: Vec<Message> =
+            orders.into_iter().filter(may).map(|queued| queued.order.message).collect();
+        let tests: Vec<u64> = written.iter().filter(|m| m.body == Body::Test).map(|m| m.session).collect();
+        self.written.extend(written.into_iter().map(|message| (on.link, message)));
+        self.desk.wrote(self.now, on, Vec::new());
+        for test in tests {
+            if self.is_read(on.link) {
+                self.passes(on, test);
+            } else {
+                self.unread_tests.push((on, test));
+            }
+        }
     }
 
-    /// The connections that were told to close are closed.
-    pub fn close_all(&mut self) {
-        for (link, dial) in std::mem::take(&mut self.closing) {
-            self.desk.lost(self.now, link, dial, Loss::Broke);
+    /// The connections that were told to close are closed, by their streamers as well where that is awaited.
+    pub fn close_all(&mut self, by_streamer: bool) {
+        for (on, awaits_close) in std::mem::take(&mut self.closing) {
+            self.desk.closed(self.now, on, awaits_close && by_streamer);
         }
         self.perform();
     }
@@ -295,8 +341,8 @@
     /// The slow connections take what waits for them.
     pub fn catch_up(&mut self) {
         self.slow.clear();
-        for (link, dial, orders) in std::mem::take(&mut self.batches) {
-            self.write(link, dial, orders);
+        for (on, orders) in std::mem::take(&mut self.batches) {
+            self.write(on, orders);
         }
         self.perform();
     }
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{entry, wish, World, STREAMERS, VIEWERS};
+use lemontide_front::core::Connection;
 use lemontide_platform::codec::{cause, Body, Message, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::desk::Loss;
@@ -71,7 +72,7 @@
         }
         let session = world.ask("paid");
         let link = match world.batches.last() {
-            Some(batch) => batch.0,
+            Some(batch) => batch.0.link,
             None => world.shot(session).expect("it was written").0,
         };
         world.batches.clear();
@@ -82,9 +83,10 @@
     }
 }
 
-/// The word that gives up an attempt waits behind a batch; the next attempt does not overtake it.
+/// The word that gives up an attempt waits behind a batch, and then unread at its streamer; the next attempt begins
+/// when the streamer passes the test behind it, and no sooner.
 #[test]
-fn the_next_attempt_leaves_only_after_the_end_of_the_last_is_written() {
+fn the_next_attempt_leaves_only_after_the_end_of_the_last_is_read() {
     let mut world = World::new();
     let session = world.ask("free");
     let (link, _) = world.shot(session).expect("it was sent");
@@ -100,24 +102,66 @@
     assert!(!world.batches.is_empty(), "a batch is being written there");
     world.pass(0.46);
     assert_eq!(order_of(&world, session), [true], "given up, but nobody can know it yet");
+    world.unread = [link].into();
     world.catch_up();
+    assert_eq!(order_of(&world, session), [true, false], "written, and not read");
+    world.pass(0.1);
+    assert_eq!(order_of(&world, session), [true, false]);
+    world.reads(link);
     assert_eq!(order_of(&world, session), [true, false, true]);
 }
 
-/// A connection that takes no word is closed, and the next attempt leaves after the close.
+/// A connection that is closed by this end proves nothing of what its streamer has read; its streamer's close does.
 #[test]
-fn the_next_attempt_leaves_only_after_the_connection_of_the_last_is_closed() {
+fn the_next_attempt_leaves_only_after_the_streamer_closes_the_connection_of_the_last() {
+    for by_streamer in [false, true] {
+        let mut world = World::new();
+        let session = world.ask("free");
+        let (link, _) = world.shot(session).expect("it was sent");
+        world.late_close = true;
+        let at: usize = world.address[&link][10..].parse::<usize>().expect("a port") - 9000;
+        let mut moved = entry(at, "in_service");
+        moved.addr = "127.0.0.1:9999".into();
+        world.news(moved);
+        assert_eq!((world.hung.clone(), order_of(&world, session)), (vec![link], vec![true]));
+        assert!(world.closing[0].1, "its streamer's close is awaited");
+        world.pass(0.5);
+        assert_eq!(order_of(&world, session), [true]);
+        world.close_all(by_streamer);
+        let attempts = if by_streamer { vec![true, true] } else { vec![true] };
+        assert_eq!(order_of(&world, session), attempts, "closed by its streamer: {by_streamer}");
+    }
+}
+
+/// A streamer acknowledges the end, or says how the attempt ended: no test is needed.
+#[test]
+fn the_next_attempt_leaves_when_the_streamer_says_that_the_last_is_over() {
+    for word in [Body::Heard, Body::release(cause::BROKEN)] {
+        let mut world = World::new();
+        let session = world.ask("free");
+        let (link, _) = world.shot(session).expect("it was sent");
+        world.unread = [link].into();
+        world.pass(0.46);
+        assert_eq!(order_of(&world, session), [true, false]);
+        world.tell_on(link, session, word);
+        assert_eq!(order_of(&world, session), [true, false, true]);
+    }
+}
+
+/// A streamer that stays silent gets no second attempt and its request none elsewhere, and one answer by its deadline;
+/// a later set-up under the same number is refused while the attempt may be out.
+#[test]
+fn a_silent_streamer_ends_a_request_without_another_attempt() {
     let mut world = World::new();
     let session = world.ask("free");
     let (link, _) = world.shot(session).expect("it was sent");
-    world.late_close = true;
-    let at: usize = world.address[&link][10..].parse::<usize>().expect("a port") - 9000;
-    let mut moved = entry(at, "in_service");
-    moved.addr = "127.0.0.1:9999".into();
-    world.news(moved);
-    assert_eq!((world.hung.clone(), order_of(&world, session)), (vec![link], vec![true]));
-    world.close_all();
-    assert_eq!(order_of(&world, session), [true, true], "the close gave the first one up");
+    world.away.insert(world.address[&link].clone(), Loss::Dark);
+    world.pass(3.0);
+    assert_eq!((world.shots(session), world.answered(session)), (1, Some(cause::TURNED_BACK)));
+    world.desk.viewer_up(world.now, 2);
+    world.say(2, session, Body::SetUp(wish("free")));
+    assert_eq!(world.shots(session), 1, "its attempt may still be out");
+    assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
 }
 
 /// Whatever never closes must not hold a request for ever.
@@ -147,6 +191,29 @@
     assert_eq!(order_of(&world, session), [true, false], "once, on the next connection");
 }
 
+/// The end of a stream was written, and its connection went before the streamer read it.
+#[test]
+fn the_end_of_a_stream_is_sent_again_until_its_streamer_has_read_it() {
+    for read in [false, true] {
+        let mut world = World::new();
+        let (session, link) = world.playing("free");
+        if !read {
+            world.unread = [link].into();
+        }
+        world.say(VIEWERS, session, Body::release(cause::NORMAL));
+        world.pass(1.5);
+        assert_eq!(order_of(&world, session), [true, false], "written");
+        if read {
+            world.tell_on(link, session, Body::Heard);
+        }
+        world.loses(link, Loss::Broke);
+        world.unread.clear();
+        world.pass(0.5);
+        let words = if read { vec![true, false] } else { vec![true, false, false] };
+        assert_eq!(order_of(&world, session), words, "read: {read}");
+    }
+}
+
 /// Set-ups wait for a dial; half of their viewers leave, and then it comes up.
 #[test]
 fn what_waits_for_a_dial_is_not_sent_once_its_viewer_left() {
@@ -158,7 +225,7 @@
         world.say(VIEWERS, *session, Body::release(cause::NORMAL));
     }
     for (link, dial) in world.dials.clone() {
-        world.desk.linked(world.now, link, dial);
+        world.desk.linked(world.now, Connection { link, dial });
     }
     world.perform();
     for (n, session) in asked.iter().enumerate() {
--- a/crates/lemontide-platform/tests/settings.rs
+++ b/crates/lemontide-platform/tests/settings.rs
@@ -39,18 +39,18 @@
         while !desk.effects.is_empty() {
             for effect in std::mem::take(&mut desk.effects) {
                 match effect {
-                    Effect::Dial { link, dial, .. } => desk.linked(now, link, dial),
-                    Effect::Write { link, dial, orders } => {
+                    Effect::Dial { on, .. } => desk.linked(now, on),
+                    Effect::Write { on, orders } => {
                         for queued in orders {
                             let Message { session, body } = queued.order.message;
                             queued.order.permit.map(|permit| permit.begin());
                             if matches!(body, Body::SetUp(_)) {
                                 let answer =
                                     Body::Answer { description: Bytes::new(), load: Default::default() };
-                                desk.told(now, link, dial, Message { session, body: answer });
+                                desk.told(now, on, Message { session, body: answer });
                             }
                         }
-                        desk.wrote(now, link, dial, Vec::new());
+                        desk.wrote(now, on, Vec::new());
                     }
                     _ => {}
                 }
--- a/crates/lemontide-standin/tests/crossings.rs
+++ b/crates/lemontide-standin/tests/crossings.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 use lemontide::clock::{Point, Span};
-use lemontide_front::core::Queued;
+use lemontide_front::core::{Connection, Queued};
 use lemontide_platform::codec::{Body, Message, SetUp};
 use lemontide_platform::config::Hosts;
-use lemontide_platform::desk::{Loss, Order};
+use lemontide_platform::desk::Order;
 use lemontide_platform::journal;
 use lemontide_platform::permit::Permit;
-use lemontide_platform::streamers::{run, Dial, Report};
+use lemontide_platform::streamers::{run, Close, Dial, Report};
 use lemontide_standin::platform::{Journal, SOON};
 use lemontide_wire::clock::Clock;
 use serde_json::json;
@@ -18,10 +18,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+const ON: Connection = Connection { link: 1, dial: 1 };
+
 /// A connection to a streamer as the loop runs it; the test plays the streamer.
 struct Line {
     orders: mpsc::Sender<Vec<Queued<Order>>>,
-    stays: Option<oneshot::Sender<()>>,
+    close: Option<oneshot::Sender<Close>>,
     reports: mpsc::Receiver<Report>,
     streamer: TcpStream,
 }
@@ -30,13 +32,13 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
     let address = listener.local_addr().expect("it is bound").to_string();
     let (orders, ordered) = mpsc::channel(4);
-    let (stays, hang_up) = oneshot::channel();
+    let (close, closed) = oneshot::channel();
     let (report, mut reports) = mpsc::channel(256);
-    let to = Dial { link: 1, dial: 1, address, timeout: SOON };
-    tokio::spawn(run(Clock::start(), to, ordered, hang_up, report));
+    let to = Dial { on: ON, address, timeout: SOON };
+    tokio::spawn(run(Clock::start(), to, ordered, closed, report));
     let streamer = timeout(SOON, listener.accept()).await.expect("it dials").expect("accepted").0;
-    assert!(matches!(reports.recv().await, Some(Report::Linked { link: 1, dial: 1 })));
-    Line { orders, stays: Some(stays), reports, streamer }
+    assert!(matches!(reports.recv().await, Some(Report::Linked { on: ON })));
+    Line { orders, close: Some(close), reports, streamer }
 }
 
 fn set_up(session: u64, permit: &Permit) -> Queued<Order> {
@@ -98,6 +100,7 @@
     assert!(left.len() < all.len());
     drop(line.orders);
     assert_eq!(read_all(&mut line.streamer).await, left);
+    drop(line.close);
     let mut wrote = 0;
     while let Some(report) = timeout(SOON, line.reports.recv()).await.expect("its task ends") {
         if let Report::Wrote { unsent, .. } = report {
@@ -114,9 +117,9 @@
 async fn after_a_hang_up_nothing_more_begins_and_the_end_is_told_after_the_close() {
     let mut line = line().await;
     let all = fill(&line).await;
-    drop(line.stays.take());
+    drop(line.close.take());
     let told = timeout(SOON, line.reports.recv()).await.expect("told at once, though a write is stuck");
-    assert!(matches!(told, Some(Report::Lost { loss: Loss::Broke, .. })));
+    assert!(matches!(told, Some(Report::Closed { by_streamer: false, .. })));
     let begun: Vec<u64> = all.iter().filter(|(_, permit)| permit.has_begun()).map(|(s, _)| *s).collect();
     // Closed already: nothing is left to be sent but what the socket holds, and then its end.
     let read = read_all(&mut line.streamer).await;
@@ -128,6 +131,27 @@
     );
 }
 
+/// This end's close proves nothing of what a streamer has read: its own close is awaited and told, and that there was
+/// none.
+#[tokio::test]
+async fn the_close_of_a_connection_is_told_with_whose_it_was() {
+    for by_streamer in [false, true] {
+        let mut line = line().await;
+        let permit = Permit::new();
+        line.orders.send(vec![set_up(1, &permit)]).await.expect("it takes orders");
+        assert!(matches!(line.reports.recv().await, Some(Report::Wrote { .. })));
+        let close = line.close.take().expect("it is up");
+        close.send(Close::AwaitStreamer).expect("it is up");
+        if by_streamer {
+            // It reads all that came, and the end of it.
+            assert_eq!(read_all(&mut line.streamer).await, [1]);
+            drop(line.streamer);
+        }
+        let told = timeout(SOON, line.reports.recv()).await.expect("told").expect("told");
+        assert!(matches!(told, Report::Closed { by_streamer: by, .. } if by == by_streamer));
+    }
+}
+
 #[tokio::test]
 async fn a_set_up_that_waits_past_its_time_never_leaves() {
     let mut line = line().await;
@@ -156,14 +180,14 @@
         full.push(one);
     }
     let (_orders, ordered) = mpsc::channel(4);
-    let (stays, hang_up) = oneshot::channel();
+    let (close, closed) = oneshot::channel();
     let (report, mut reports) = mpsc::channel(4);
-    let to = Dial { link: 1, dial: 1, address: at.to_string(), timeout: SOON * 2 };
-    tokio::spawn(run(Clock::start(), to, ordered, hang_up, report));
+    let to = Dial { on: ON, address: at.to_string(), timeout: SOON * 2 };
+    tokio::spawn(run(Clock::start(), to, ordered, closed, report));
     tokio::task::yield_now().await;
-    drop(stays);
+    drop(close);
     let told = timeout(SOON, reports.recv()).await.expect("told before the dial's time is over");
-    assert!(matches!(told, Some(Report::Lost { .. })));
+    assert!(matches!(told, Some(Report::Closed { by_streamer: false, .. })));
 }
 
 fn event(pos: u64) -> String {
--- a/src/books.rs
+++ b/src/books.rs
@@ -174,6 +174,8 @@
     pub shots: u32,
     pub looks: u32,
     pub may_have_run: bool,
+    /// The shot that is out counts against its streamer already.
+    pub counted: bool,
     /// The streamer whose error was this wish's first.
     pub blamed: Option<usize>,
     pub climb_at: Point,
--- a/src/control.rs
+++ b/src/control.rs
@@ -283,6 +283,7 @@
             shots: 0,
             looks: 0,
             may_have_run: false,
+            counted: false,
             blamed: None,
             climb_at: now + Span::of(self.chance.between(QUIET.0, QUIET.1)),
             changed: now,
@@ -294,11 +295,10 @@
     fn place(&mut self, now: Point, place: usize) {
         let held = &self.held[place];
         let (lane, floor) = (held.lane, held.floor);
-        let most = self.rules.number("shots.most", 1.0).max(1.0) as u32;
         let terms = &self.lanes[lane];
         let seated = |s: &Subscription| s.title == held.title && s.lane == lane && s.seated();
         let no_seat = terms.seats > 0 && self.held.iter().filter(|(_, s)| seated(s)).count() >= terms.seats;
-        let spent = now >= held.cut_off || held.shots >= most || !self.within_ration(now, held.shots);
+        let spent = !self.has_shots_left(now, held);
         // A viewer below the lane's floor can use no rung of it. Symptom: rungs that its screen can't show.
         if no_seat || spent || floor > held.top {
             return self.give_up(place);
@@ -348,7 +348,7 @@
         (held.state, held.streamer, held.rung, held.changed) = (State::SettingUp, at, rung, now);
         // A free lane's shot leaves time for another within the latency goal; a paid one has no other.
         let mut within = held.cut_off - now;
-        if !self.lanes[lane].paid && held.shots < most {
+        if !self.lanes[lane].paid && held.shots < self.rules.shots_most() {
             within = within.min(self.lanes[lane].goal * SHOT_PART);
         }
         self.results.rungs.push((held.id, rung));
@@ -604,6 +604,11 @@
         made + 1.0 <= floor + share * taken
     }
 
+    /// Whether another shot of a subscription is within its time and all bounds.
+    fn has_shots_left(&self, now: Point, held: &Subscription) -> bool {
+        now < held.cut_off && held.shots < self.rules.shots_most() && self.within_ration(now, held.shots)
+    }
+
     /// The final answer of a subscription that is given up, at once: turned back where the terms allow.
     fn give_up(&mut self, place: usize) {
         let held = self.held.remove(place);
@@ -850,12 +855,25 @@
         on.hear(now, at, load, age, 1.0);
     }
 
+    /// A shot got no answer in its time, or its connection is of no more use, and it may still be out. This counts
+    /// against its streamer now, and no more when `ended` follows. True where another shot may follow, which must
+    /// wait until this one is proven over; false where `ended` decides the subscription for good.
+    pub fn in_doubt(self, on: &mut Controller, now: Point) -> bool {
+        let Some(held) = self.find(on) else { return false };
+        let (at, lane, counted) = (held.streamer, held.lane, std::mem::replace(&mut held.counted, true));
+        if let Some(streamer) = on.streamers.get_mut(at).filter(|_| !counted) {
+            streamer.weigh(now, BAD);
+        }
+        !on.lanes[lane].paid && on.has_shots_left(now, &on.held[self.place])
+    }
+
     /// A shot or its stream ended; `over` says that the subscription is finished with it.
     pub fn ended(self, on: &mut Controller, now: Point, ending: Ending, over: bool, load: Load) {
         let Some(held) = self.find(on) else { return };
         let (at, rung, lane, seated) = (held.streamer, held.rung, held.lane, held.seated());
         let finished = over || matches!(held.state, State::Playing | State::Left);
         let (played, blamed) = (held.state == State::Playing, held.blamed);
+        let counted = std::mem::take(&mut held.counted);
         if ending == Ending::Errored {
             held.blamed = Some(if blamed.is_none() { at } else { usize::MAX });
         }
@@ -879,6 +897,7 @@
                     let first = blamed.and_then(|first| on.streamers.get_mut(first));
                     first.into_iter().for_each(|streamer| streamer.weigh(now, -BAD));
                 }
+                _ if counted => {}
                 Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken => {
                     streamer.weigh(now, BAD);
                 }
@@ -910,6 +929,11 @@
 }
 
 impl HouseRules {
+    /// Shots of one subscription at most.
+    fn shots_most(&self) -> u32 {
+        self.number("shots.most", 1.0).max(1.0) as u32
+    }
+
     /// After so long the next note is overdue; where none comes by itself, what was told is old.
     fn lapse(&self) -> Span {
         if self.number("notes.every", 1.0) <= 0.0 {
