The rungs of one subscription go over one connection, in order

Found by reading for the same mistake: set_rung chose the connection that carried least for each rung, and order holds only within one; a rung could overtake the one before it. The connection of the set-up carries them while it is up. The test rungs_follow_each_other_on_one_connection fails with the old choice (rungs on connections 2 and 1).

--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -173,6 +173,8 @@
     out: Option<Out>,
     /// Since when it plays.
     playing: Option<Point>,
+    /// The connection that carries what is said of it to its streamer while it plays: order holds within one only.
+    carrier: Option<Connection>,
 }
 
 struct Known {
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -82,6 +82,7 @@
         held.begun = held.out.as_ref().and_then(|out| out.permit.begun_at());
         let steps = Self::steps(held, Outcome::Plays, now);
         if let Some(out) = held.out.take() {
+            held.carrier = Some(out.on);
             if let Some(wire) = self.wires.get_mut(&out.on.link) {
                 wire.open = wire.open.saturating_sub(1);
             }
@@ -306,9 +307,14 @@
         if held.playing.is_none() {
             return;
         }
-        let (session, at) = (held.session, held.at.clone());
-        if let Some(link) = self.best_link(&at) {
-            self.order(now, link, Message { session, body: Body::Rung(rung) });
+        let (session, at, carrier) = (held.session, held.at.clone(), held.carrier);
+        let link =
+            carrier.filter(|on| self.is_current(*on)).map(|on| on.link).or_else(|| self.best_link(&at));
+        let Some(link) = link else { return };
+        self.order(now, link, Message { session, body: Body::Rung(rung) });
+        let dial = self.wires.get(&link).map(|wire| wire.link.dial);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.carrier = dial.map(|dial| Connection { link, dial });
         }
     }
 
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -270,6 +270,7 @@
             begun: None,
             out: None,
             playing,
+            carrier: None,
         };
         if let Some(at) = plays_at {
             // It may name what is in hand already.
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -4,7 +4,7 @@
 
 use common::{entry, wish, World, STREAMERS, VIEWERS};
 use lemontide_front::core::Connection;
-use lemontide_platform::codec::{cause, Body, Message, SetUp};
+use lemontide_platform::codec::{cause, Body, Message, Note, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::desk::Loss;
 
@@ -164,6 +164,24 @@
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
 }
 
+/// Rungs of a subscription go over one connection while it is up, in order, whatever connection carries least.
+#[test]
+fn rungs_follow_each_other_on_one_connection() {
+    let mut world = World::new();
+    let (session, link) = world.playing("free");
+    // Others wait there, so that further connections are opened and carry less.
+    for second in 0..60 {
+        if second % 2 == 0 {
+            world.ask("paid");
+        }
+        world.tell_on(link, session, Body::Note(Note::Link(if second % 20 < 10 { 0.1 } else { 3.0 })));
+        world.pass(1.0);
+    }
+    let rungs = world.written.iter().filter(|(_, m)| m.session == session && matches!(m.body, Body::Rung(_)));
+    let on: Vec<u64> = rungs.map(|(link, _)| *link).collect();
+    assert!(on.len() > 1 && on.iter().all(|other| *other == link), "on {link}: {on:?}");
+}
+
 /// Whatever never closes must not hold a request for ever.
 #[test]
 fn a_connection_that_is_never_closed_does_not_keep_a_request() {
