front: a shot is followed by another only with a proof from its streamer that it is over

Now the cancel is followed by a ping, and core::attempt's evidence decides as in serve: the pong, the streamer's word, or its own close of the link; else the wish ends at its cut-off. A link that this end closes is not awaited, so what was out there has no other shot behind it. Both new driver tests fail with the wait taken out (one shot too many), and pass now.

--- a/crates/lemontide-front/src/core/driver.rs
+++ b/crates/lemontide-front/src/core/driver.rs
@@ -3,7 +3,7 @@
 //! handed over may have run unless the streamer sent it back.
 
 use super::links::{Link, Queued, Verdict};
-use super::{seconds, InFleet, Shared, Together, Viewers};
+use super::{seconds, Connection, Evidence, GivenUp, InFleet, Shared, Together, Viewers};
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
 use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage};
@@ -106,6 +106,8 @@
     not_after: Point,
     /// When it was given to the socket: from here on it may have run.
     handed: Option<Point>,
+    /// It is given up, and the next attempt waits for a proof that it is over.
+    given_up: Option<GivenUp>,
 }
 
 /// A wish or subscription in hand.
@@ -490,11 +492,19 @@
         self.pump(now, at);
     }
 
-    /// A connection or dial is over.
-    pub fn lost(&mut self, now: Point, at: usize, dial: u64) {
-        if !self.is_current(at, dial) {
-            return;
+    /// A connection or dial is over. `by_streamer` says that the streamer closed or reset it, which proves what was
+    /// out there over.
+    pub fn lost(&mut self, now: Point, at: usize, dial: u64, by_streamer: bool) {
+        if self.is_current(at, dial) {
+            self.lose(now, at);
+        }
+        if by_streamer {
+            self.learn_evidence(now, Connection { link: at as u64, dial }, Evidence::ClosedByStreamer);
         }
+        self.carry_out(now);
+    }
+
+    fn lose(&mut self, now: Point, at: usize) {
         let was_up = self.known[at].link.is_up();
         let chance = self.chance.random::<f64>();
         self.known[at].link.down(now, chance);
@@ -506,17 +516,53 @@
             let streamer = self.known[at].entry.streamer.clone();
             tracing::info!(target: "link", streamer, waiting = waiting.len(), "lost");
             self.effects.push(Effect::Tap(What::LinkLost { streamer }));
-            let on_it = |held: &Held| {
-                held.at == at && (held.playing || held.out.as_ref().is_some_and(|out| out.handed.is_some()))
-            };
+            let is_out =
+                |held: &Held| held.out.as_ref().is_some_and(|o| o.handed.is_some() && o.given_up.is_none());
+            let on_it = |held: &Held| held.at == at && (held.playing || is_out(held));
             self.saw(at, Ending::Broken);
-            let broken: Vec<_> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
-            for id in broken {
-                self.ended(now, id, Ending::Broken, Load::default());
+            let broken: Vec<_> =
+                self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, h)| (*id, h.playing)).collect();
+            for (id, playing) in broken {
+                if playing {
+                    self.ended(now, id, Ending::Broken, Load::default());
+                } else {
+                    self.in_doubt(now, id, Ending::Broken, None);
+                }
             }
         }
         self.end_shots(now, at, waiting, Ending::NoConnection);
-        self.carry_out(now);
+    }
+
+    /// An attempt that has begun is given up. The module may place the wish anew once the attempt is proven over;
+    /// where it would not do so anyway, the wish is decided at once.
+    fn in_doubt(&mut self, now: Point, id: u32, ending: Ending, test: Option<u64>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let (handle, at, cut_off) = (held.handle, held.at, held.cut_off);
+        let Some(out) = held.out.as_mut() else { return };
+        let dial = self.known.get(at).map_or(0, |known| known.link.dial);
+        let on = Connection { link: at as u64, dial };
+        let (number, handed) = (out.number, out.handed);
+        out.given_up = Some(GivenUp { on, ending, test });
+        tracing::debug!(target: "attempt", ask = held.ask, number, ?on, ?ending, ?test, "given up, not proven over");
+        let left = held.left;
+        self.count_end(now, at, handed, ending, false);
+        if left || !handle.in_doubt(&mut self.module, now) {
+            return self.ended(now, id, ending, Load::default());
+        }
+        self.due.push(Reverse((cut_off, id, number)));
+    }
+
+    /// Something was heard of a connection that may prove attempts over.
+    fn learn_evidence(&mut self, now: Point, on: Connection, evidence: Evidence) {
+        let proven = |held: &Held| {
+            let given_up = held.out.as_ref()?.given_up?;
+            Some((given_up.ending, given_up.proof(on, evidence)?))
+        };
+        let proven: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, proven(held)?))).collect();
+        for (id, (ending, proof)) in proven {
+            tracing::debug!(target: "attempt", ask = self.held[&id].ask, ?on, ?ending, ?proof, "over");
+            self.ended(now, id, ending, Load::default());
+        }
     }
 
     /// The orders of the last batch are written, but for these set-ups, whose time was over: they never ran.
@@ -616,7 +662,11 @@
                     self.module.looked(now, &name, true, load(&looked.cmsd_dynamic));
                 }
             }
-            Told::Welcome(_) | Told::Pong(_) => {}
+            Told::Pong(pong) => {
+                let on = Connection { link: at as u64, dial };
+                self.learn_evidence(now, on, Evidence::TestPassed { test: pong.nonce });
+            }
+            Told::Welcome(_) => {}
         }
         self.carry_out(now);
     }
@@ -645,7 +695,11 @@
         let Some(held) = self.held.get(&id) else { return };
         let Some(out) = held.out.as_ref().filter(|out| out.number == shot) else { return };
         let (at, ask) = (held.at, held.ask.clone());
-        if out.handed.is_none() {
+        if let Some(given_up) = out.given_up {
+            if now >= held.cut_off {
+                self.ended(now, id, given_up.ending, Load::default());
+            }
+        } else if out.handed.is_none() {
             if now >= out.not_after {
                 self.known[at].link.withdraw((id, shot));
                 self.end_shots(now, at, vec![(id, shot)], Ending::NoConnection);
@@ -653,13 +707,27 @@
         } else if now >= out.deadline {
             let left = held.left;
             self.effects.push(Effect::Tap(What::GaveUp { ask, shot }));
-            if !left {
-                self.order(now, at, Order::Cancel(Cancel { id, shot, why: Why::TimedOut.into() }));
+            if left {
+                return self.ended(now, id, Ending::TimedOut, Load::default());
+            }
+            let dial = self.known[at].link.dial;
+            self.order(now, at, Order::Cancel(Cancel { id, shot, why: Why::TimedOut.into() }));
+            let test = self.is_current(at, dial).then(|| self.ping(now, at));
+            let waits = |held: &Held| held.out.as_ref().is_some_and(|out| out.given_up.is_none());
+            if self.held.get(&id).is_some_and(waits) {
+                self.in_doubt(now, id, Ending::TimedOut, test);
             }
-            self.ended(now, id, Ending::TimedOut, Load::default());
         }
     }
 
+    /// Asks a streamer for a word; the number that it comes back with.
+    fn ping(&mut self, now: Point, at: usize) -> u64 {
+        self.nonce += 1;
+        let nonce = self.nonce;
+        self.order(now, at, Order::Ping(Ping { nonce }));
+        nonce
+    }
+
     fn look_after_links(&mut self, now: Point, gap: Span) {
         for at in 0..self.known.len() {
             let dial = self.known[at].link.dial;
@@ -667,13 +735,11 @@
                 Verdict::Fine => {}
                 Verdict::Dial => self.dial(now, at),
                 Verdict::Ping => {
-                    self.nonce += 1;
-                    let nonce = self.nonce;
-                    self.order(now, at, Order::Ping(Ping { nonce }));
+                    self.ping(now, at);
                 }
                 Verdict::Lost => {
                     self.effects.push(Effect::Hang { at, dial });
-                    self.lost(now, at, dial);
+                    self.lost(now, at, dial, false);
                 }
             }
             let late = self.known[at].looking.is_some_and(|(_, until)| now >= until);
@@ -694,7 +760,7 @@
     fn hang(&mut self, now: Point, at: usize) {
         let dial = self.known[at].link.dial;
         self.effects.push(Effect::Hang { at, dial });
-        self.lost(now, at, dial);
+        self.lost(now, at, dial, false);
     }
 
     fn is_current(&self, at: usize, dial: u64) -> bool {
@@ -704,7 +770,8 @@
 
     fn waits_for(&mut self, at: usize, id: u32, shot: u32) -> Option<&mut Held> {
         let held = self.held.get_mut(&id).filter(|held| held.at == at)?;
-        held.out.as_ref().is_some_and(|out| out.number == shot && out.handed.is_some()).then_some(held)
+        let out = held.out.as_ref().filter(|out| out.number == shot && out.given_up.is_none());
+        out.is_some_and(|out| out.handed.is_some()).then_some(held)
     }
 
     fn plays_at(&self, at: usize, id: u32) -> Option<Handle> {
@@ -784,12 +851,8 @@
         self.known.iter().filter_map(flight).collect()
     }
 
-    /// A shot, or the stream that came of it, ended: the module is told, and what plays is over.
-    fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        let handed = held.out.take().and_then(|out| out.handed);
-        held.last = Some(ending);
-        let (handle, playing, left, at) = (held.handle, held.playing, held.left, held.at);
+    /// Counts the end of a shot, or of the stream that came of it, for its streamer.
+    fn count_end(&mut self, now: Point, at: usize, handed: Option<Point>, ending: Ending, playing: bool) {
         self.landed(now, at, handed, ending);
         let against =
             !matches!(ending, Ending::Served | Ending::Cancelled | Ending::NotSent | Ending::Unknown);
@@ -800,6 +863,19 @@
         if !playing {
             self.saw(at, ending);
         }
+    }
+
+    /// A shot, or the stream that came of it, ended: the module is told, and what plays is over. A shot that was
+    /// handed to a socket must be proven over, unless it was the last.
+    fn ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let out = held.out.take();
+        held.last = Some(ending);
+        let (handle, playing, left, at) = (held.handle, held.playing, held.left, held.at);
+        // One that was given up is counted already.
+        if out.as_ref().is_none_or(|out| out.given_up.is_none()) {
+            self.count_end(now, at, out.and_then(|out| out.handed), ending, playing);
+        }
         handle.ended(&mut self.module, now, ending, playing, load);
         if playing || left {
             self.held.remove(&id);
@@ -902,7 +978,7 @@
         let not_after = deadline.min(now + self.terms.dial_timeout);
         held.shots += 1;
         held.at = at;
-        held.out = Some(Out { number, deadline, not_after, handed: None });
+        held.out = Some(Out { number, deadline, not_after, handed: None, given_up: None });
         let order = Order::SetUp(SetUp {
             id,
             shot: number,
--- a/crates/lemontide-front/src/events.rs
+++ b/crates/lemontide-front/src/events.rs
@@ -39,6 +39,8 @@
     Lost {
         at: usize,
         dial: u64,
+        /// The streamer closed or reset the connection.
+        by_streamer: bool,
     },
     Wrote {
         at: usize,
--- a/crates/lemontide-front/src/front.rs
+++ b/crates/lemontide-front/src/front.rs
@@ -252,7 +252,7 @@
         let now = self.now();
         match happened {
             Happened::Linked { at, dial, started } => self.driver.linked(now, at, dial, started),
-            Happened::Lost { at, dial } => self.driver.lost(now, at, dial),
+            Happened::Lost { at, dial, by_streamer } => self.driver.lost(now, at, dial, by_streamer),
             Happened::Wrote { at, dial, unsent } => self.driver.wrote(now, at, dial, unsent),
             Happened::Told { at, dial, told } => self.driver.told(now, at, dial, told),
             Happened::List(list) => {
@@ -343,7 +343,7 @@
                         let wire = self.wires.get(&at);
                         if wire.is_none_or(|(wire, _)| wire.try_send(orders).is_err()) {
                             // The task is gone; its own report may still be on the way.
-                            self.driver.lost(self.now(), at, dial);
+                            self.driver.lost(self.now(), at, dial, false);
                         }
                     }
                     Effect::Hang { at, .. } => {
--- a/crates/lemontide-front/src/link.rs
+++ b/crates/lemontide-front/src/link.rs
@@ -8,6 +8,7 @@
 use lemontide_wire::clock::Clock;
 use lemontide_wire::link::{ControllerEnd, Hello, Order, Told, VERSION};
 use lemontide_wire::tap::{Tap, What};
+use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -48,7 +49,7 @@
         Err(_) => None,
     };
     let Some((framed, started)) = greeted else {
-        let _ = report(Happened::Lost { at, dial }).await;
+        let _ = report(Happened::Lost { at, dial, by_streamer: false }).await;
         return;
     };
     if report(Happened::Linked { at, dial, started }).await.is_err() {
@@ -91,22 +92,22 @@
             match stream.next().await {
                 Some(Ok(told)) => {
                     if report(Happened::Told { at, dial, told }).await.is_err() {
-                        return;
+                        return false;
                     }
                 }
                 Some(Err(e)) => {
-                    tracing::warn!(target: "link", streamer, error = %e, "bad frame, link closed");
-                    return;
+                    tracing::warn!(target: "link", streamer, error = %e, "link closed");
+                    return e.kind() == ErrorKind::ConnectionReset;
                 }
-                None => return,
+                None => return true,
             }
         }
     };
-    tokio::select! {
-        () = writer => {}
-        () = reader => {}
-    }
-    let _ = report(Happened::Lost { at, dial }).await;
+    let by_streamer = tokio::select! {
+        () = writer => false,
+        by_streamer = reader => by_streamer,
+    };
+    let _ = report(Happened::Lost { at, dial, by_streamer }).await;
 }
 
 type End = Framed<TcpStream, ControllerEnd>;
--- a/crates/lemontide-front/tests/common/mod.rs
+++ b/crates/lemontide-front/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use lemontide_front::core::{Driver, Effect, Queued, Refusal};
 use lemontide_front::settings::Settings;
 use lemontide_wire::cmcd::Cmcd;
-use lemontide_wire::link::{Ended, How, Order, Plays, SetUp, Told};
+use lemontide_wire::link::{Ended, How, Order, Plays, Pong, SetUp, Told};
 use lemontide_wire::list::{Entry, List, Stage};
 use lemontide_wire::play::{Answer, News, Wish};
 use serde_json::json;
@@ -62,6 +62,9 @@
     /// These can't be reached; batches to these are taken and never written.
     pub away: Vec<usize>,
     pub stuck: Vec<usize>,
+    /// These read nothing for now, and the numbers of the pings that they have not read.
+    pub unread: Vec<usize>,
+    pub unread_pings: Vec<(usize, u64)>,
     next: u32,
 }
 
@@ -85,6 +88,8 @@
             hung: Vec::new(),
             away: Vec::new(),
             stuck: Vec::new(),
+            unread: Vec::new(),
+            unread_pings: Vec::new(),
             next: 0,
         };
         world.driver.learn(now, &list(1, |_| {}));
@@ -141,7 +146,7 @@
 
     pub fn cut(&mut self, at: usize) {
         let dial = self.dials.get(&at).copied().unwrap_or(0);
-        self.driver.lost(self.now, at, dial);
+        self.driver.lost(self.now, at, dial, true);
         self.perform();
     }
 
@@ -210,7 +215,22 @@
         }
         self.driver.wrote(self.now, at, dial, unsent);
         for nonce in pings {
-            self.driver.told(self.now, at, dial, Told::Pong(lemontide_wire::link::Pong { nonce }));
+            if self.unread.contains(&at) {
+                self.unread_pings.push((at, nonce));
+            } else {
+                self.driver.told(self.now, at, dial, Told::Pong(Pong { nonce }));
+            }
+        }
+    }
+
+    /// A streamer reads what lies unread, and answers the pings in it.
+    pub fn reads(&mut self, at: usize) {
+        self.unread.retain(|unread| *unread != at);
+        let (read, unread) =
+            std::mem::take(&mut self.unread_pings).into_iter().partition(|ping| ping.0 == at);
+        self.unread_pings = unread;
+        for (_, nonce) in read {
+            self.tell(at, Told::Pong(Pong { nonce }));
         }
     }
 }
--- a/crates/lemontide-front/tests/driver.rs
+++ b/crates/lemontide-front/tests/driver.rs
@@ -73,6 +73,35 @@
     assert!(world.shots(free) >= 2 && world.is_open(free));
 }
 
+/// Issue 39 in this front: the cancel of a shot lies unread, and the next shot begins only once it is read.
+#[test]
+fn the_next_shot_leaves_only_after_the_cancel_of_the_last_is_read() {
+    let mut world = World::new();
+    let id = world.ask("free");
+    let (at, _) = world.shot(id);
+    world.unread = vec![at];
+    world.pass(1.0);
+    assert_eq!((world.cancels.len(), world.shots(id)), (1, 1), "cancelled, and nobody can know it yet");
+    world.reads(at);
+    assert_eq!(world.shots(id), 2);
+}
+
+/// A link that is closed from this end proves nothing of what its streamer has read; a streamer's close does.
+#[test]
+fn a_shot_on_a_link_that_this_end_closes_has_no_other_behind_it() {
+    for by_streamer in [false, true] {
+        let mut world = World::new();
+        let id = world.ask("free");
+        let (at, _) = world.shot(id);
+        let dial = world.dials[&at];
+        world.driver.lost(world.now, at, dial, by_streamer);
+        world.pass(0.1);
+        assert_eq!(world.shots(id), if by_streamer { 2 } else { 1 }, "closed by its streamer: {by_streamer}");
+        world.pass(3.0);
+        assert!(is_turned_back(world.answer(id)));
+    }
+}
+
 #[test]
 fn a_paid_shot_that_never_left_or_was_sent_back_is_shot_again() {
     let mut world = World::new();
--- a/crates/lemontide-standin/src/swarm.rs
+++ b/crates/lemontide-standin/src/swarm.rs
@@ -251,7 +251,7 @@
                     }
                     instance.driver.linked(now, at, dial, started);
                 } else if let Some(instance) = self.instances[me].as_mut() {
-                    instance.driver.lost(now, at, dial);
+                    instance.driver.lost(now, at, dial, false);
                 }
             }
             Effect::Hang { at, .. } => {
@@ -348,7 +348,7 @@
                         let now = self.at();
                         let Some(instance) = self.instances[me].as_mut() else { continue };
                         let Some((_, dial)) = instance.wires.remove(&at) else { continue };
-                        instance.driver.lost(now, at, dial);
+                        instance.driver.lost(now, at, dial, true);
                         self.perform(me);
                     }
                     Out::Tap { seen: Seen::Given { rung, seconds, share, ask, .. }, .. } => {
