A streamer's close does not prove that its session does not stand: the end is read elsewhere first

What stands belongs to no connection. Now the end goes to that server once more on another connection with a test behind it, and the next attempt waits for that; where the server refuses the connection, or the list says that it is gone, its process is over and so is the attempt. In front a stream ends with its link, and the close stays a proof. Seen to fail before: the_next_attempt_leaves_only_after_the_end_of_one_on_a_closed_connection_is_read_elsewhere (attempt at once); it replaces the test that asserted the close as a proof, and is stricter.

--- a/crates/lemontide-front/src/core/attempt.rs
+++ b/crates/lemontide-front/src/core/attempt.rs
@@ -22,8 +22,10 @@
     EndRead,
     /// Its streamer acknowledged its end.
     EndAcknowledged,
-    /// Its streamer closed its connection, which gives up what is open there.
+    /// Its streamer closed its connection, and what stands there ends with it.
     ClosedByStreamer,
+    /// Its streamer closed its connection, and nobody listens at its address any more.
+    ProcessGone,
 }
 
 /// What is heard of a connection and may prove that attempts on it are over.
@@ -35,15 +37,19 @@
     EndAcknowledged,
     /// The streamer said how the attempt ended.
     Answered,
-    /// The streamer closed or reset the connection.
+    /// The streamer closed or reset the connection, where no session outlives its connection.
     ClosedByStreamer,
+    /// The connection was refused.
+    Refused,
 }
 
 /// An attempt that was given up after it began, and is not known to be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GivenUp {
-    /// The connection that carried it.
+    /// The connection that carried it, or that carries its end since the streamer closed that one.
     pub on: Connection,
+    /// The streamer closed the connection that carried it. It reads nothing more of that, but the session may stand.
+    pub is_closed: bool,
     /// How it is told to the decision module.
     pub ending: Ending,
     /// Number of the test that was sent behind its end, where one could be sent.
@@ -64,6 +70,7 @@
             Evidence::EndAcknowledged => Some(Proof::EndAcknowledged),
             Evidence::Answered => Some(Proof::Answered),
             Evidence::ClosedByStreamer => Some(Proof::ClosedByStreamer),
+            Evidence::Refused => self.is_closed.then_some(Proof::ProcessGone),
         }
     }
 }
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -226,7 +226,7 @@
             Evidence::TestPassed { test } => test > sent.after_test,
             Evidence::EndAcknowledged | Evidence::Answered => session == Some(self.session),
             // What stands belongs to no connection, and stands on.
-            Evidence::ClosedByStreamer => false,
+            Evidence::ClosedByStreamer | Evidence::Refused => false,
         }
     }
 }
@@ -370,6 +370,7 @@
             self.owed.retain(|(until, _)| now <= *until);
             self.unproven.retain(|unproven| now <= unproven.until);
             self.end_again(now);
+            self.end_elsewhere(now);
         }
         while let Some(Reverse((_, id, shot))) = self.due.peek().copied().filter(|r| r.0 .0 <= now) {
             self.due.pop();
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -26,7 +26,7 @@
         if let Some(wire) = self.wires.get_mut(&on.link).filter(|_| out.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
         }
-        *out.given_up.get_or_insert(GivenUp { on, ending, test: None })
+        *out.given_up.get_or_insert(GivenUp { on, is_closed: false, ending, test: None })
     }
 
     /// Tells a streamer that an attempt is given up, and sends a test behind it, whose number is returned: once it is
@@ -198,6 +198,47 @@
         }
     }
 
+    /// A streamer closed a connection: it reads nothing more that came on it, and has given up what was being set up
+    /// there. What it had set up may stand all the same, as its answer may be lost with the connection; so the ends go
+    /// to it once more, on another.
+    pub(super) fn closed_by_streamer(&mut self, now: Point, on: Connection) {
+        for held in self.held.values_mut() {
+            let given_up = held.out.as_mut().and_then(|out| out.given_up.as_mut());
+            if let Some(given_up) = given_up.filter(|given_up| given_up.on == on) {
+                given_up.is_closed = true;
+            }
+        }
+        self.end_elsewhere(now);
+    }
+
+    /// Sends the ends of attempts whose streamer closed their connection on another one, where they are not on their
+    /// way on one that is up.
+    pub(super) fn end_elsewhere(&mut self, now: Point) {
+        let waits = |held: &Held| {
+            let given_up = held.out.as_ref()?.given_up?;
+            (given_up.is_closed && !self.is_current(given_up.on)).then_some((held.session, held.at.clone()))
+        };
+        let waiting: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, waits(held)?))).collect();
+        for (id, (session, at)) in waiting {
+            let stage = self.known.get(&at).map(|known| known.entry.stage());
+            if stage.is_none_or(|stage| stage == Stage::Gone) {
+                // It closed its connections, and the list says that it is no more.
+                let out = self.held.get(&id).and_then(|held| held.out.as_ref());
+                let Some(given_up) = out.and_then(|out| out.given_up) else { continue };
+                self.attempt_over(now, id, given_up.ending, Load::default(), Proof::ProcessGone);
+                continue;
+            }
+            let Some(link) = self.best_link(&at).or_else(|| self.redial(now, &at)) else { continue };
+            let Some(dial) = self.wires.get(&link).map(|wire| wire.link.dial) else { continue };
+            let on = Connection { link, dial };
+            let test = self.write_end(now, session, on);
+            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
+            if let Some(given_up) = out.and_then(|out| out.given_up.as_mut()) {
+                (given_up.on, given_up.test) = (on, test);
+            }
+        }
+    }
+
     /// Takes back the attempts of a connection that have not begun.
     pub(super) fn withdraw_waiting(&mut self, link: u64) -> Vec<(u32, u32)> {
         let wire = self.wires.get_mut(&link);
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -82,6 +82,9 @@
         }
         let awaits_close = self.may_await_close(on);
         self.effects.push(Effect::Hang { on, awaits_close });
+        if loss == Loss::Refused {
+            self.learn_evidence(now, on, None, Evidence::Refused);
+        }
         self.lose(now, on.link, loss);
         self.carry_out(now);
     }
@@ -90,7 +93,7 @@
     pub fn closed(&mut self, now: Point, on: Connection, by_streamer: bool) {
         self.closing.remove(&on);
         if by_streamer {
-            self.learn_evidence(now, on, None, Evidence::ClosedByStreamer);
+            self.closed_by_streamer(now, on);
             self.carry_out(now);
         }
     }
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -111,9 +111,10 @@
     assert_eq!(order_of(&world, session), [true, false, true]);
 }
 
-/// A connection that is closed by this end proves nothing of what its streamer has read; its streamer's close does.
+/// A connection that is closed by this end proves nothing of what its streamer has read; nor does the streamer's close
+/// prove that the session does not stand: the end goes to it on another connection, and must be read there.
 #[test]
-fn the_next_attempt_leaves_only_after_the_streamer_closes_the_connection_of_the_last() {
+fn the_next_attempt_leaves_only_after_the_end_of_one_on_a_closed_connection_is_read_elsewhere() {
     for by_streamer in [false, true] {
         let mut world = World::new();
         let session = world.ask("free");
@@ -127,9 +128,35 @@
         assert!(world.closing[0].1, "its streamer's close is awaited");
         world.pass(0.5);
         assert_eq!(order_of(&world, session), [true]);
+        world.unread = (0..1000).collect();
         world.close_all(by_streamer);
-        let attempts = if by_streamer { vec![true, true] } else { vec![true] };
-        assert_eq!(order_of(&world, session), attempts, "closed by its streamer: {by_streamer}");
+        world.pass(0.2);
+        let words = if by_streamer { vec![true, false] } else { vec![true] };
+        assert_eq!(order_of(&world, session), words, "closed by its streamer: {by_streamer}");
+        let links: Vec<u64> = world.dials.keys().copied().collect();
+        links.into_iter().for_each(|link| world.reads(link));
+        let words = if by_streamer { vec![true, false, true] } else { vec![true] };
+        assert_eq!(order_of(&world, session), words, "closed by its streamer: {by_streamer}");
+    }
+}
+
+/// The process of an attempt is gone: its connection is closed, and it refuses others or the list says so.
+#[test]
+fn the_next_attempt_leaves_when_the_process_of_the_last_is_gone() {
+    for is_listed in [true, false] {
+        let mut world = World::new();
+        let session = world.ask("free");
+        let (link, _) = world.shot(session).expect("it was sent");
+        let address = world.address[&link].clone();
+        let at: usize = address[10..].parse::<usize>().expect("a port") - 9000;
+        if is_listed {
+            world.away.insert(address, Loss::Refused);
+        } else {
+            world.news(entry(at, "terminated"));
+        }
+        world.loses(link, Loss::Broke);
+        world.pass(0.3);
+        assert_eq!(order_of(&world, session), [true, true], "listed: {is_listed}");
     }
 }
 
