lemontide soak: seeded runs of real controllers under combined troubles, judged from the sockets

Each seed draws one to four serve processes, two to seven stand-in servers behind delays, and troubles: SIGTERM in series with SIGKILL at the earliest, servers that hang, fall silent, die or are replaced, lost, late, spoilt and second answers, resets and closes under requests, connections that come up late or close early, messages in pieces, outages of discovery with drains close to their end, configurations in succession, leavers, slow writers, bad clients, repeaters, idle connections, crowds. Judged from what crossed the sockets: lost, duplicates, unsafe repeats, drains, leavers, releases, bad clients, crashes, limits, strays. Cold budgets are not judged. A failure is printed in the form of the reports, with the nodes' logs of its sessions.

--- a/crates/lemontide-cli/src/main.rs
+++ b/crates/lemontide-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod measure;
 mod requests;
 mod serve;
+mod soak;
 mod tools;
 
 use clap::{Parser, Subcommand};
@@ -57,6 +58,8 @@
     /// Measure something: a table, then one line of JSON.
     #[command(subcommand)]
     Measure(measure::What),
+    /// Play seeded runs of real controllers under combined troubles, and judge the rules from what crossed the sockets.
+    Soak(soak::Args),
     /// Check settings, or a day, without starting anything.
     Check {
         file: PathBuf,
@@ -100,6 +103,7 @@
         Command::Judge { taps, json } => tools::judge(&taps, json),
         Command::Requests { logs } => requests::run(&logs),
         Command::Measure(what) => measure::run(what),
+        Command::Soak(args) => soak::run(&args),
         Command::Check { file, day } => tools::check(&file, day),
         Command::Schema { of, into } => tools::schema(of, into.as_deref()),
     };
--- /dev/null
+++ b/crates/lemontide-cli/src/soak.rs
@@ -0,0 +1,88 @@
+//! `lemontide soak`: seeded runs of real controllers under combined troubles, judged from what crossed the sockets.
+
+use crate::Outcome;
+use clap::Args as ClapArgs;
+use futures::stream::{self, StreamExt};
+use lemontide_standin::soak::{self, Options};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(ClapArgs)]
+pub struct Args {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds are played, one after the other.
+    #[arg(long, default_value_t = 1)]
+    count: u64,
+    /// Seeds that are played at the same time.
+    #[arg(long, default_value_t = 1)]
+    jobs: usize,
+    /// Length of the script of each seed, in seconds; a run takes 4 s more.
+    #[arg(long, default_value_t = 12.0)]
+    seconds: f64,
+    /// Another build to play, in place of this program.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// A folder for the logs of the nodes, by seed; they are dropped where it is not given.
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
+/// A run whose own lateness says nothing of the nodes is played once more.
+const PLAYS_MOST: usize = 2;
+
+/// Ends with 1 where a rule was broken, and with 2 where a seed could not be judged, as this machine was late twice.
+pub fn run(args: &Args) -> Outcome {
+    let program = match &args.program {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?,
+    };
+    let options = Options { program, seconds: args.seconds };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let seeds = args.seed..args.seed.saturating_add(args.count);
+    let outcomes = runtime.block_on(async {
+        let plays = stream::iter(seeds).map(|seed| play(seed, &options, args.logs.clone()));
+        plays.buffered(args.jobs.max(1)).collect::<Vec<_>>().await
+    });
+    let (mut broken, mut late) = (Vec::new(), Vec::new());
+    for outcome in outcomes {
+        let outcome = outcome?;
+        if outcome.was_late {
+            late.push(outcome.seed);
+        } else if !outcome.report.is_empty() {
+            broken.push(outcome.seed);
+        }
+    }
+    println!(
+        "{} seeds; a rule broken on {broken:?}; not judged, as this machine was late: {late:?}",
+        args.count
+    );
+    Ok(match (broken.is_empty(), late.is_empty()) {
+        (true, true) => ExitCode::SUCCESS,
+        (true, false) => ExitCode::from(2),
+        (false, _) => ExitCode::FAILURE,
+    })
+}
+
+/// Plays a seed, once more where this machine was late, and prints what came of it.
+async fn play(seed: u64, options: &Options, logs: Option<PathBuf>) -> std::io::Result<soak::Outcome> {
+    let mut plays = 0;
+    loop {
+        plays += 1;
+        let scratch = tempfile::tempdir()?;
+        let folder = logs.as_ref().map(|logs| logs.join(format!("seed-{seed}")));
+        if let Some(folder) = &folder {
+            std::fs::create_dir_all(folder)?;
+        }
+        let outcome = soak::play(seed, options, folder.as_deref().unwrap_or(scratch.path())).await?;
+        println!("{}", outcome.summary);
+        if !outcome.report.is_empty() {
+            println!("{}", outcome.report);
+        }
+        if !outcome.was_late || plays >= PLAYS_MOST {
+            return Ok(outcome);
+        }
+        println!("seed {seed}: this machine was late, so it is played again");
+    }
+}
--- a/crates/lemontide-standin/src/lib.rs
+++ b/crates/lemontide-standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod player;
 pub mod relay;
 pub mod run;
+pub mod soak;
 pub mod streamer;
 pub mod swarm;
 pub mod town;
--- /dev/null
+++ b/crates/lemontide-standin/src/soak/client.rs
@@ -0,0 +1,505 @@
+//! Clients of one node: connections that stay, leave early, write slowly, send as a connection closes, and go on until
+//! the node is killed; and clients that send what can't be used.
+
+use super::node::{Node, Status};
+use super::plan::{draw, Plan};
+use super::record::{Answer, BadClient, Record, Request, Signal, CLASSES};
+use bytes::{Bytes, BytesMut};
+use lemontide_platform::codec::{cause, Body, Codec, Figures, Message, SetUp};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, sleep_until, timeout};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// After SIGTERM new connections are opened for so long, in seconds.
+const NEW_CONNECTIONS_FOR: f64 = 0.3;
+/// A set-up that crosses a close within this time is sent once more, in seconds.
+const CROSSES_WITHIN: f64 = 0.05;
+/// A request is unanswered for good so long after its time, in seconds.
+const GIVES_UP_AFTER: f64 = 1.0;
+/// The longest that a slow writer takes for one message, in seconds.
+const SLOW_WRITE: f64 = 0.15;
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+const BETWEEN_CONNECTS: Duration = Duration::from_millis(30);
+/// A bad client is owed a word within this time, in seconds; it waits somewhat longer.
+pub const BAD_CLIENT_WAITS: f64 = 3.0;
+const BETWEEN_BAD_CLIENTS: Duration = Duration::from_millis(400);
+
+/// What clients need of the run.
+pub struct World {
+    pub plan: Arc<Plan>,
+    pub record: Arc<Record>,
+    pub node: Arc<Node>,
+    /// No request is begun after this moment, in seconds.
+    pub last_request: f64,
+    pub until: f64,
+}
+
+/// Something that is written by the writer of a connection.
+struct Write {
+    bytes: Vec<u8>,
+    /// It is the set-up of this request; slowly, where `pauses` is above 0 seconds.
+    request: Option<Request>,
+    pauses: f64,
+}
+
+fn bytes_of(message: Message) -> Vec<u8> {
+    let mut bytes = BytesMut::new();
+    // What stand-ins say fits into a message.
+    let _ = Codec.encode(message, &mut bytes);
+    bytes.to_vec()
+}
+
+fn set_up(plan: &Plan, class: &str, wait_ms: u64, title: u64) -> SetUp {
+    SetUp {
+        lane: class.into(),
+        tenant: "acme".into(),
+        title: format!("t{title}"),
+        wait_ms,
+        figures: Some(Figures { home: 0, copies: plan.servers, top: 1, again: false, at: None }),
+        description: Bytes::from_static(b"asked"),
+        ..SetUp::default()
+    }
+}
+
+/// The message that asks for a session, or hands it over where `at` names its server.
+pub fn hand_over(plan: &Plan, request: &Request, at: &str) -> Message {
+    let wait = (request.class.deadline * 1e3) as u64;
+    let mut set_up = set_up(plan, request.class.name, wait, request.id % 8);
+    if let Some(figures) = &mut set_up.figures {
+        figures.at = Some(at.to_owned());
+    }
+    Message { session: request.id, body: Body::SetUp(set_up) }
+}
+
+/// Runs one client, connection after connection.
+pub async fn run(world: Arc<World>, slot: u64) {
+    let mut number = 0;
+    let mut crossed = Vec::new();
+    while world.record.now() < world.until {
+        if !may_connect(&world) {
+            sleep(BETWEEN_CONNECTS).await;
+            continue;
+        }
+        let Ok(Ok(socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
+            sleep(BETWEEN_CONNECTS).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        let (read, write) = socket.into_split();
+        let (writes, written) = mpsc::unbounded_channel();
+        let mut connection = Connection {
+            world: world.clone(),
+            slot,
+            number: &mut number,
+            writes,
+            open: BTreeSet::new(),
+            is_first: true,
+        };
+        for request in std::mem::take(&mut crossed) {
+            connection.send_again(request);
+        }
+        let record = world.record.clone();
+        let write = tokio::spawn(write_all(record, write, written));
+        crossed = connection.attend(read).await;
+        drop(connection);
+        write.abort();
+    }
+}
+
+fn may_connect(world: &World) -> bool {
+    match *world.node.status.borrow() {
+        Status::Up => true,
+        Status::Terminating(since) => world.record.now() - since < NEW_CONNECTIONS_FOR,
+        Status::Down => false,
+    }
+}
+
+async fn write_all(
+    record: Arc<Record>,
+    mut socket: OwnedWriteHalf,
+    mut writes: mpsc::UnboundedReceiver<Write>,
+) {
+    while let Some(Write { bytes, request, pauses }) = writes.recv().await {
+        let pieces = if pauses > 0.0 { 3 } else { 1 };
+        let mut is_written = true;
+        for piece in bytes.chunks(bytes.len().div_ceil(pieces).max(1)) {
+            is_written &= socket.write_all(piece).await.is_ok();
+            if pauses > 0.0 {
+                sleep(Duration::from_secs_f64(pauses / 3.0)).await;
+            }
+        }
+        if !is_written {
+            return;
+        }
+        if let Some(request) = request {
+            let now = record.now();
+            if let Some(request) = record.book().request(request.id) {
+                request.sent = request.sent.min(now);
+            }
+        }
+    }
+}
+
+struct Connection<'a> {
+    world: Arc<World>,
+    slot: u64,
+    number: &'a mut u64,
+    writes: mpsc::UnboundedSender<Write>,
+    /// Requests that wait for an answer here.
+    open: BTreeSet<u64>,
+    is_first: bool,
+}
+
+impl Connection<'_> {
+    /// Sends and reads until the connection is over; the requests that crossed its close.
+    async fn attend(&mut self, mut socket: OwnedReadHalf) -> Vec<Request> {
+        let mut bytes = BytesMut::new();
+        let mut status = self.world.node.status.subscribe();
+        let mut next = self.world.record.now() + 0.05 * draw(self.world.plan.seed, self.slot, 1);
+        let mut cancels: Vec<(f64, u64)> = Vec::new();
+        loop {
+            let now = self.world.record.now();
+            if now >= self.world.until || *status.borrow_and_update() == Status::Down {
+                return Vec::new();
+            }
+            let due = cancels.iter().map(|(at, _)| *at).fold(next, f64::min);
+            tokio::select! {
+                read = socket.read_buf(&mut bytes) => {
+                    if !matches!(read, Ok(1..)) {
+                        return self.closed();
+                    }
+                    loop {
+                        match Codec.decode(&mut bytes) {
+                            Ok(Some(message)) => cancels.extend(self.hear(message)),
+                            Ok(None) => break,
+                            Err(_) => return self.closed(),
+                        }
+                    }
+                }
+                _ = status.changed() => {}
+                () = sleep_until(self.world.record.instant(due)) => {
+                    if let Some(place) = cancels.iter().position(|(at, _)| *at <= due) {
+                        if self.leave(cancels.swap_remove(place).1) {
+                            return Vec::new();
+                        }
+                    } else {
+                        cancels.extend(self.send());
+                        let gap = 2.0 * draw(self.world.plan.seed, self.slot * 977 + 5, *self.number);
+                        next = due + gap / self.rate();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Requests a second on this connection.
+    fn rate(&self) -> f64 {
+        self.world.plan.requests_per_s
+    }
+
+    /// Sends the next request; when its client leaves, if it does.
+    fn send(&mut self) -> Option<(f64, u64)> {
+        let now = self.world.record.now();
+        if now >= self.world.last_request {
+            return None;
+        }
+        *self.number += 1;
+        let (plan, record) = (&self.world.plan, &self.world.record);
+        let place = ((self.world.node.at as u64) << 40) | (self.slot << 24) | *self.number;
+        let draw = |what: u64| draw(plan.seed ^ 0xc11e, place, what);
+        let number = (draw(0) * 2f64.powi(53)) as u64;
+        let id = (number << 8) | (self.world.node.at as u64 + 1);
+        let class = CLASSES[usize::from(draw(1) < 0.6)];
+        let is_short = draw(2) < 0.03;
+        let wait = if is_short { 0.05 + 0.3 * draw(3) } else { class.deadline };
+        let set_up = set_up(plan, class.name, (wait * 1e3) as u64, id % 8);
+        let request = Request {
+            id,
+            class,
+            node: self.world.node.at,
+            sent: f64::INFINITY,
+            wait,
+            is_repeated: false,
+            is_first: std::mem::take(&mut self.is_first),
+            left: None,
+            answers: Vec::new(),
+            closed: None,
+            is_sent_again: false,
+            over: None,
+        };
+        let mut book = record.book();
+        let at = book.requests.len();
+        book.by_id.insert(id, at);
+        book.requests.push(request.clone());
+        drop(book);
+        let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
+        let pauses = if draw(4) < plan.odds.slow_writer { SLOW_WRITE * draw(5) } else { 0.0 };
+        let _ = self.writes.send(Write { bytes, request: Some(request), pauses });
+        self.open.insert(id);
+        (draw(6) < plan.odds.leaves).then(|| (now + pauses + 1.2 * draw(7) * draw(7), id))
+    }
+
+    /// A request that crossed a close is sent once more, as it was.
+    fn send_again(&mut self, request: Request) {
+        let id = request.id;
+        let wait = (request.wait * 1e3) as u64;
+        let set_up = set_up(&self.world.plan, request.class.name, wait, id % 8);
+        if let Some(again) = self.world.record.book().request(id) {
+            again.is_sent_again = true;
+            again.sent = f64::INFINITY;
+            again.is_first = std::mem::take(&mut self.is_first);
+        }
+        let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
+        let _ = self.writes.send(Write { bytes, request: Some(request), pauses: 0.0 });
+        self.open.insert(id);
+    }
+
+    /// The client cancels, or ends what stands, or closes its connection; true where it closes.
+    fn leave(&mut self, id: u64) -> bool {
+        let now = self.world.record.now();
+        let mut book = self.world.record.book();
+        let is_open = self.open.contains(&id);
+        if is_open && draw(self.world.plan.seed, id, 0x1eaf) < 0.4 {
+            for id in &self.open {
+                if let Some(request) = book.request(*id) {
+                    request.left = Some(now);
+                }
+            }
+            return true;
+        }
+        let Some(request) = book.request(id) else { return false };
+        if is_open {
+            request.left = Some(now);
+            self.open.remove(&id);
+        } else if request.over.is_none() {
+            request.over = Some(now);
+        }
+        drop(book);
+        let bytes = bytes_of(Message { session: id, body: Body::release(cause::NORMAL) });
+        let _ = self.writes.send(Write { bytes, request: None, pauses: 0.0 });
+        false
+    }
+
+    /// Hears the node; when what stands from now on is ended by its client, if it is.
+    fn hear(&mut self, message: Message) -> Option<(f64, u64)> {
+        let now = self.world.record.now();
+        let id = message.session;
+        let mut book = self.world.record.book();
+        let made = book.made.get(&id).cloned().unwrap_or_default();
+        let request = book.request(id)?;
+        let stands = request.answers.last().is_some_and(|answer| answer.1 == Answer::Served);
+        match message.body {
+            Body::Answer { description, .. } => {
+                let is_right = made.iter().any(|made| made.as_bytes() == &description[..]);
+                request.answers.push((now, if is_right { Answer::Served } else { Answer::ServedWrong }));
+                self.open.remove(&id);
+                let ends = draw(self.world.plan.seed, id, 0xe4d5);
+                return (ends < 0.3).then_some((now + 4.0 * ends, id));
+            }
+            Body::Release { .. } | Body::Move if stands => {
+                request.over.get_or_insert(now);
+            }
+            Body::Release { cause, .. } => {
+                let is_refusal = [cause::FULL, cause::TURNED_BACK, cause::MOOT].contains(&cause);
+                request.answers.push((now, if is_refusal { Answer::Refused } else { Answer::Failed }));
+                self.open.remove(&id);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// The node closed the connection.
+    fn closed(&mut self) -> Vec<Request> {
+        let now = self.world.record.now();
+        let mut crossed = Vec::new();
+        let mut book = self.world.record.book();
+        for id in &self.open {
+            let Some(request) = book.request(*id) else { continue };
+            if now - request.sent <= CROSSES_WITHIN && !request.is_sent_again {
+                crossed.push(request.clone());
+            } else {
+                request.closed = Some(now);
+            }
+        }
+        crossed
+    }
+}
+
+/// Opens connections to a node on which nothing is ever said, until as many are open as the plan says.
+pub async fn run_idle(world: Arc<World>) {
+    let mut open = Vec::new();
+    while world.record.now() < world.until {
+        if *world.node.status.borrow() != Status::Up {
+            open.clear();
+        } else if open.len() < world.plan.idle_connections {
+            if let Ok(Ok(socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await {
+                open.push(socket);
+                continue;
+            }
+        }
+        sleep(BETWEEN_CONNECTS).await;
+    }
+}
+
+/// Sends one request after the other, each once more under its number soon after it was cancelled, answered or left.
+pub async fn run_repeater(world: Arc<World>) {
+    let mut number = 0;
+    while world.record.now() < world.last_request {
+        sleep(BETWEEN_BAD_CLIENTS / 2).await;
+        if *world.node.status.borrow() == Status::Up {
+            number += 1;
+            tokio::spawn(repeat(world.clone(), number));
+        }
+    }
+}
+
+async fn repeat(world: Arc<World>, number: u64) {
+    let id = 0x4e9e_0000_0000_0000 | ((world.node.at as u64) << 32) | number;
+    let class = CLASSES[1];
+    let now = world.record.now();
+    let request = Request {
+        id,
+        class,
+        node: world.node.at,
+        sent: now,
+        wait: class.deadline,
+        is_repeated: true,
+        is_first: true,
+        left: None,
+        answers: Vec::new(),
+        closed: None,
+        is_sent_again: true,
+        over: None,
+    };
+    {
+        let mut book = world.record.book();
+        let at = book.requests.len();
+        book.by_id.insert(id, at);
+        book.requests.push(request);
+    }
+    let set_up = set_up(&world.plan, class.name, (class.deadline * 1e3) as u64, id % 8);
+    let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
+    for time in 0..3 {
+        let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
+            return;
+        };
+        if socket.write_all(&bytes).await.is_err() {
+            return;
+        }
+        let mut answer = [0; 64];
+        let wait = 0.8 * draw(world.plan.seed, id, time);
+        let _ = timeout(Duration::from_secs_f64(wait), socket.read(&mut answer)).await;
+        if number.is_multiple_of(2) {
+            let cancel = bytes_of(Message { session: id, body: Body::release(cause::NORMAL) });
+            let _ = socket.write_all(&cancel).await;
+        }
+    }
+}
+
+/// How long after its time a client still listens for an answer.
+pub fn listens_until(request: &Request) -> f64 {
+    request.sent + request.wait + GIVES_UP_AFTER
+}
+
+/// Clients that send what can't be used, one after the other.
+pub async fn run_bad(world: Arc<World>) {
+    let mut number = 0;
+    while world.record.now() < world.last_request {
+        sleep(BETWEEN_BAD_CLIENTS).await;
+        if *world.node.status.borrow() != Status::Up {
+            continue;
+        }
+        number += 1;
+        tokio::spawn(bad_client(world.clone(), number));
+    }
+}
+
+/// What a bad client sends; none where it sends too much to be held here.
+fn bad_bytes(world: &World, number: u64) -> (&'static str, Vec<u8>) {
+    let plan = &world.plan;
+    let id = 0xbad0_0000_0000_0000 | ((world.node.at as u64) << 32) | number;
+    let message = |session, set_up| bytes_of(Message { session, body: Body::SetUp(set_up) });
+    let usable = set_up(plan, CLASSES[1].name, 3000, 1);
+    match number % 8 {
+        0 => ("noise", (0..200u32).map(|n| (n * 37 % 251) as u8).collect()),
+        1 => ("a message that never ends", vec![63, 255, 1, 0, 0]),
+        2 => ("a length of nothing", vec![0, 0, 0, 0]),
+        3 => ("no such class", message(id, SetUp { lane: "none".into(), ..usable })),
+        4 => ("no such cells", message(id, SetUp { figures: Some(Figures::default()), ..usable })),
+        5 => ("no id", message(0, usable)),
+        6 => ("no title", message(id, SetUp { title: String::new(), ..usable })),
+        _ => ("an answer", bytes_of(Message { session: id, body: Body::Move })),
+    }
+}
+
+async fn bad_client(world: Arc<World>, number: u64) {
+    let connected = world.record.now();
+    let (what, bytes) = bad_bytes(&world, number);
+    let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
+        return;
+    };
+    let mut client = BadClient {
+        node: world.node.at,
+        what,
+        connected,
+        heard: None,
+        was_served: false,
+        is_void: socket.write_all(&bytes).await.is_err(),
+    };
+    let mut heard = [0; 512];
+    let wait = Duration::from_secs_f64(BAD_CLIENT_WAITS + 0.5);
+    if let Ok(read) = timeout(wait, socket.read(&mut heard)).await {
+        client.heard = Some(world.record.now());
+        let mut said = BytesMut::from(&heard[..read.unwrap_or(0)]);
+        let answer = Codec.decode(&mut said);
+        client.was_served = matches!(answer, Ok(Some(Message { body: Body::Answer { .. }, .. })));
+    }
+    let mut book = world.record.book();
+    let went = book.next_signal(world.node.at, connected, |signal| {
+        matches!(signal, Signal::Kill | Signal::Terminate | Signal::Exited { .. })
+    });
+    client.is_void |= went.is_some();
+    book.bad_clients.push(client);
+}
+
+/// Hands all that stands over to a node that was started again, and goes on hearing it there.
+pub async fn hand_over_all(world: Arc<World>, name: impl Fn(usize) -> String) {
+    let standing: Vec<(Request, usize)> = {
+        let book = world.record.book();
+        let stands = |request: &&Request| {
+            let served = matches!(request.answers.first(), Some((_, Answer::Served)));
+            request.node == world.node.at && served && request.over.is_none()
+        };
+        let server = |request: &Request| {
+            let attempts = book.attempts.iter().rev().filter(|attempt| attempt.id == request.id);
+            attempts.clone().find(|attempt| attempt.answered.is_some()).map(|attempt| attempt.server)
+        };
+        let standing = book.requests.iter().filter(stands);
+        standing.filter_map(|request| Some((request.clone(), server(request)?))).collect()
+    };
+    let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
+        return;
+    };
+    for (request, server) in &standing {
+        let message = hand_over(&world.plan, request, &name(*server));
+        if socket.write_all(&bytes_of(message)).await.is_err() {
+            return;
+        }
+    }
+    let mut bytes = BytesMut::new();
+    while matches!(socket.read_buf(&mut bytes).await, Ok(1..)) {
+        while let Ok(Some(message)) = Codec.decode(&mut bytes) {
+            let now = world.record.now();
+            if let Some(request) = world.record.book().request(message.session) {
+                request.over.get_or_insert(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemontide-standin/src/soak/discovery.rs
@@ -0,0 +1,206 @@
+//! A stand-in of the discovery service of one node: numbered events, a word a second, and outages of every kind.
+
+use super::record::{ListEvent, ListState, Outage, Record};
+use super::server::bind;
+use serde_json::{json, Value as Json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Between two words of a service that has nothing to tell.
+const WORD_EVERY: Duration = Duration::from_secs(1);
+/// How long the connections at an old address stay open.
+const OLD_ADDRESS_OPEN: Duration = Duration::from_millis(1500);
+
+/// What the connections of the service do now.
+#[derive(Clone, Debug)]
+struct Status {
+    /// Which of the addresses is in use.
+    address: usize,
+    is_down: bool,
+    /// Connections that were opened before are silent.
+    silent_before: Option<f64>,
+    /// Position of the last event.
+    last: u64,
+}
+
+pub struct Discovery {
+    node: usize,
+    record: Arc<Record>,
+    addresses: Vec<SocketAddr>,
+    /// Events as this node reads them; the first is the whole list of the start.
+    events: Mutex<Vec<Json>>,
+    status: watch::Sender<Status>,
+}
+
+impl Discovery {
+    pub fn start(node: usize, record: Arc<Record>, addresses: Vec<SocketAddr>) -> Arc<Discovery> {
+        let status = Status { address: 0, is_down: false, silent_before: None, last: 0 };
+        let discovery = Arc::new(Discovery {
+            node,
+            record,
+            addresses,
+            events: Mutex::default(),
+            status: watch::channel(status).0,
+        });
+        for address in 0..discovery.addresses.len() {
+            tokio::spawn(listen(discovery.clone(), address));
+        }
+        discovery
+    }
+
+    fn events(&self) -> MutexGuard<'_, Vec<Json>> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.addresses[self.status.borrow().address]
+    }
+
+    /// Tells an event; positions count from 1.
+    pub fn tell(&self, is_full: bool, servers: Vec<Json>) {
+        let mut events = self.events();
+        let position = events.len() as u64 + 1;
+        events.push(
+            json!({"pos": position, "hosts": {"version": position, "full": is_full, "servers": servers}}),
+        );
+        drop(events);
+        self.status.send_modify(|status| status.last = position);
+    }
+
+    /// What a configuration holds of the list.
+    pub fn known(&self) -> Json {
+        let entries = self.events().clone();
+        json!({"pos": entries.len(), "entries": entries})
+    }
+
+    /// A process starts, which reads all events in its configuration.
+    pub fn mark_known(&self) {
+        let last = self.events().len() as u64;
+        for position in 1..=last {
+            self.mark_written(position);
+        }
+    }
+
+    fn mark_written(&self, position: u64) {
+        let now = self.record.now();
+        let mut book = self.record.book();
+        for event in book.list.iter_mut().filter(|event| event.position == position) {
+            event.written[self.node].get_or_insert(now);
+        }
+    }
+
+    fn outage(&self, seconds: f64, open_ones_only: bool) {
+        let from = self.record.now();
+        let until = from + seconds;
+        self.record.book().outages.push(Outage { node: self.node, from, until, open_ones_only });
+    }
+
+    pub async fn go_down(&self, seconds: f64) {
+        self.outage(seconds, false);
+        self.status.send_modify(|status| status.is_down = true);
+        sleep(Duration::from_secs_f64(seconds)).await;
+        self.status.send_modify(|status| status.is_down = false);
+    }
+
+    pub async fn fall_silent(&self, seconds: f64) {
+        self.outage(seconds, true);
+        let now = self.record.now();
+        self.status.send_modify(|status| status.silent_before = Some(now));
+        sleep(Duration::from_secs_f64(seconds)).await;
+        self.status.send_modify(|status| status.silent_before = None);
+    }
+
+    /// Goes on at the next address.
+    pub fn move_on(&self) {
+        let most = self.addresses.len();
+        self.status.send_modify(|status| status.address = (status.address + 1).min(most - 1));
+    }
+}
+
+/// An event of the record, before it is told.
+pub fn list_event(
+    record: &Record,
+    nodes: usize,
+    server: usize,
+    state: ListState,
+    position: u64,
+) -> ListEvent {
+    ListEvent { at: record.now(), position, server, state, written: vec![None; nodes] }
+}
+
+async fn listen(discovery: Arc<Discovery>, address: usize) {
+    let mut status = discovery.status.subscribe();
+    loop {
+        let serves = |status: &Status| status.address == address && !status.is_down;
+        if status.wait_for(serves).await.is_err() {
+            return;
+        }
+        let Some(listener) = bind(discovery.addresses[address]).await else { return };
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((socket, _)) = accepted {
+                        tokio::spawn(follow(discovery.clone(), address, socket));
+                    }
+                }
+                _ = status.wait_for(|status| !serves(status)) => break,
+            }
+        }
+        if status.borrow().address != address {
+            return;
+        }
+    }
+}
+
+/// Serves one follower until the service moves or goes down.
+async fn follow(discovery: Arc<Discovery>, address: usize, mut socket: TcpStream) {
+    let opened = discovery.record.now();
+    let mut status = discovery.status.subscribe();
+    let Some(mut last) = timeout(WORD_EVERY, asked(&mut socket)).await.ok().flatten() else { return };
+    loop {
+        let now = status.borrow_and_update().clone();
+        if now.is_down {
+            return;
+        }
+        if now.address != address {
+            sleep(OLD_ADDRESS_OPEN).await;
+            return;
+        }
+        let is_silent = now.silent_before.is_some_and(|before| opened < before);
+        if !is_silent {
+            let news: Vec<(u64, String)> = {
+                let events = discovery.events();
+                (last..events.len() as u64).map(|at| (at + 1, events[at as usize].to_string())).collect()
+            };
+            for (position, line) in news {
+                // Read by the node at this moment at the earliest: told from here on.
+                if socket.write_all((line + "\n").as_bytes()).await.is_err() {
+                    return;
+                }
+                discovery.mark_written(position);
+                last = position;
+            }
+            if socket.write_all(format!("{last}\n").as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        tokio::select! {
+            _ = status.changed() => {}
+            () = sleep(WORD_EVERY) => {}
+        }
+    }
+}
+
+/// The position after which a follower asks.
+async fn asked(socket: &mut TcpStream) -> Option<u64> {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\n") {
+        line.push(socket.read_u8().await.ok()?);
+    }
+    String::from_utf8_lossy(&line).trim().strip_prefix("tail ")?.parse().ok()
+}
--- /dev/null
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -0,0 +1,251 @@
+//! Seeded runs of a handful of real controllers on loopback, under troubles that are drawn and combined by the seed,
+//! with the rules judged from what crossed the sockets. `plan` draws a run, `server`, `discovery` and `client` are the
+//! stand-ins, `node` is a controller's process, `record` keeps what crossed, `judge` reads it, `report` prints it.
+
+mod client;
+mod discovery;
+pub mod judge;
+mod node;
+mod plan;
+pub mod record;
+mod report;
+mod server;
+
+use client::World;
+use discovery::{list_event, Discovery};
+use node::Node;
+use plan::{draw, Event, Mode, Plan};
+use record::{ListState, Record};
+use serde_json::{json, Value as Json};
+use server::Server;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{sleep, sleep_until};
+
+/// After the script of a run its open requests are waited for, in seconds.
+const WAIT_AFTER: f64 = 4.0;
+/// No request is begun in the last part of the script, in seconds.
+const QUIET_END: f64 = 2.0;
+/// A run in which the stand-ins themselves were later than this does not count, in seconds.
+const LATE_MOST: f64 = 0.04;
+const LOOK_AT_LATENESS: Duration = Duration::from_millis(5);
+/// Addresses that discovery of one node may move to.
+const DISCOVERY_ADDRESSES: u8 = 6;
+const CLIENTS_PORT: u16 = 1;
+const DISCOVERY_PORT: u16 = 2;
+
+/// The networks of runs of this process.
+static RUNS: AtomicU8 = AtomicU8::new(0);
+
+/// What is played, and how.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program that is run as `PROGRAM serve`.
+    pub program: PathBuf,
+    /// Length of the script of events, in seconds.
+    pub seconds: f64,
+}
+
+/// How a run ended.
+pub struct Outcome {
+    pub seed: u64,
+    /// One line on the run.
+    pub summary: String,
+    /// What broke, in the form of the operators' reports; empty where nothing did.
+    pub report: String,
+    /// The stand-ins were late, so that nothing can be said of the run.
+    pub was_late: bool,
+}
+
+/// The parts of one run.
+struct Cluster {
+    plan: Arc<Plan>,
+    record: Arc<Record>,
+    servers: Vec<Arc<Server>>,
+    discoveries: Vec<Arc<Discovery>>,
+    nodes: Vec<Arc<Node>>,
+    worlds: Vec<Arc<World>>,
+}
+
+/// Plays one seed.
+pub async fn play(seed: u64, options: &Options, folder: &Path) -> io::Result<Outcome> {
+    let plan = Arc::new(Plan::draw(seed, options.seconds));
+    let record = Arc::new(Record::start());
+    let cluster = Cluster::new(plan.clone(), record.clone(), &options.program, folder);
+    for server in 0..plan.servers {
+        cluster.change_list(&[(server, ListState::Ready)], true);
+    }
+    let lateness = tokio::spawn(watch_lateness(record.clone()));
+    for node in &cluster.nodes {
+        tokio::spawn(node.clone().watch());
+        node.start().await?;
+    }
+    for world in &cluster.worlds {
+        for slot in 0..plan.connections as u64 {
+            tokio::spawn(client::run(world.clone(), slot));
+        }
+        if plan.bad_clients {
+            tokio::spawn(client::run_bad(world.clone()));
+        }
+        if plan.repeaters {
+            tokio::spawn(client::run_repeater(world.clone()));
+        }
+        if plan.idle_connections > 0 {
+            tokio::spawn(client::run_idle(world.clone()));
+        }
+    }
+    let cluster = Arc::new(cluster);
+    for (at, event) in plan.events.clone() {
+        tokio::spawn(happen(cluster.clone(), at, event));
+    }
+    sleep_until(record.instant(plan.seconds + WAIT_AFTER)).await;
+    let end = record.now();
+    lateness.abort();
+    let breaks = judge::judge(&record.book(), end);
+    for node in &cluster.nodes {
+        node.end().await;
+    }
+    let book = record.book();
+    let was_late = book.lateness.0 > LATE_MOST;
+    let logs: Vec<PathBuf> = cluster.nodes.iter().map(|node| node.log_file()).collect();
+    Ok(Outcome {
+        seed,
+        summary: report::summary(&plan, &book, &breaks),
+        report: report::report(&plan, &record, &book, &breaks, &logs),
+        was_late,
+    })
+}
+
+impl Cluster {
+    fn new(plan: Arc<Plan>, record: Arc<Record>, program: &Path, folder: &Path) -> Cluster {
+        // Each run has addresses of its own, and each process a port of its own.
+        let network = [100 + RUNS.fetch_add(1, Ordering::Relaxed) % 100, 0];
+        let port = 10_000 + (std::process::id() % 5_000) as u16 * 4;
+        let address = |node: usize, last: u8, port: u16| {
+            SocketAddr::from((Ipv4Addr::new(127, network[0], 100 + node as u8, last), port))
+        };
+        let server = |at| Server::start(plan.clone(), record.clone(), at, network, port);
+        let servers: Vec<_> = (0..plan.servers).map(server).collect();
+        let discovery = |node| {
+            let addresses = (1..=DISCOVERY_ADDRESSES).map(|last| address(node, last, port + DISCOVERY_PORT));
+            Discovery::start(node, record.clone(), addresses.collect())
+        };
+        let discoveries: Vec<_> = (0..plan.nodes).map(discovery).collect();
+        let settings = node::settings(plan.nodes, plan.servers);
+        let node = |at: usize| {
+            let listen = address(at, 1, port + CLIENTS_PORT);
+            let discovery = discoveries[at].clone();
+            Node::new(at, listen, program, folder, record.clone(), discovery, settings.clone())
+        };
+        let nodes: Vec<_> = (0..plan.nodes).map(node).collect();
+        let world = |node: &Arc<Node>| {
+            Arc::new(World {
+                plan: plan.clone(),
+                record: record.clone(),
+                node: node.clone(),
+                last_request: plan.seconds - QUIET_END,
+                until: plan.seconds + WAIT_AFTER,
+            })
+        };
+        let worlds = nodes.iter().map(world).collect();
+        Cluster { plan, record, servers, discoveries, nodes, worlds }
+    }
+
+    /// Tells all nodes of changes of the list.
+    fn change_list(&self, changes: &[(usize, ListState)], is_start: bool) {
+        for (server, state) in changes {
+            let position = self.record.book().list.len() as u64 + 1;
+            let event = list_event(&self.record, self.plan.nodes, *server, *state, position);
+            self.record.book().list.push(event);
+            for (node, discovery) in self.discoveries.iter().enumerate() {
+                let entry = self.entry(node, *server, *state, is_start);
+                discovery.tell(is_start && *server == 0, vec![entry]);
+            }
+        }
+    }
+
+    fn entry(&self, node: usize, server: usize, state: ListState, is_start: bool) -> Json {
+        let name = server_name(self.plan.seed, server);
+        let address = self.servers[server].address(node).to_string();
+        let unix_ms =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        let state_name = match state {
+            ListState::Ready => "in_service",
+            ListState::Draining => "terminating",
+            ListState::Gone => "terminated",
+        };
+        let started_ms = if state == ListState::Ready && !is_start { unix_ms } else { 0 };
+        json!({"id": name, "addr": address, "zone": "a", "kind": "std", "cell": server, "state": state_name,
+            "weight": 1, "started_ms": started_ms})
+    }
+}
+
+/// The name of a server in the list.
+fn server_name(seed: u64, server: usize) -> String {
+    format!("s-{:08x}", (draw(seed, 0x7365_7276, server as u64) * f64::from(u32::MAX)) as u32)
+}
+
+/// Does what the script says, in its time.
+async fn happen(cluster: Arc<Cluster>, at: f64, event: Event) {
+    sleep_until(cluster.record.instant(at)).await;
+    let done = match event {
+        Event::Server { server, mode } => {
+            cluster.servers[server].set_mode(mode);
+            Ok(())
+        }
+        Event::Replace { server, gone_after, back_after } => {
+            cluster.change_list(&[(server, ListState::Draining)], false);
+            sleep(Duration::from_secs_f64(gone_after)).await;
+            cluster.servers[server].set_mode(Mode::Dead);
+            cluster.change_list(&[(server, ListState::Gone)], false);
+            sleep(Duration::from_secs_f64(back_after)).await;
+            cluster.servers[server].set_mode(Mode::Normal);
+            cluster.change_list(&[(server, ListState::Ready)], false);
+            Ok(())
+        }
+        Event::Restart { node } => restarted(&cluster, node, cluster.nodes[node].clone().restart()).await,
+        Event::Kill { node } => restarted(&cluster, node, cluster.nodes[node].clone().kill_and_start()).await,
+        Event::DiscoveryDown { node, seconds } => {
+            cluster.discoveries[node].go_down(seconds).await;
+            Ok(())
+        }
+        Event::DiscoverySilent { node, seconds } => {
+            cluster.discoveries[node].fall_silent(seconds).await;
+            Ok(())
+        }
+        Event::Reconfigure { node, times } => cluster.nodes[node].reconfigure(times).await,
+    };
+    if let Err(e) = done {
+        tracing::error!(target: "soak", error = %e, at, "a step of the script failed");
+    }
+}
+
+/// Hands what stands over to a node that was started again.
+async fn restarted(
+    cluster: &Cluster,
+    node: usize,
+    start: impl std::future::Future<Output = io::Result<()>>,
+) -> io::Result<()> {
+    start.await?;
+    let seed = cluster.plan.seed;
+    let name = move |server| server_name(seed, server);
+    tokio::spawn(client::hand_over_all(cluster.worlds[node].clone(), name));
+    Ok(())
+}
+
+/// Measures how late the stand-ins themselves are.
+async fn watch_lateness(record: Arc<Record>) {
+    loop {
+        let due = record.now() + LOOK_AT_LATENESS.as_secs_f64();
+        sleep_until(record.instant(due)).await;
+        let now = record.now();
+        let mut book = record.book();
+        if now - due > book.lateness.0 {
+            book.lateness = (now - due, now);
+        }
+    }
+}
