A crowd of silent connections is let go several at a time, so that who asks does not wait behind it

Cause: 400 connections that say nothing come back at once and fill the viewers' descriptors; make_room asked one to close at a time, and only eight closed ones were read out at a time, 50 ms each, so a newcomer waited 1.3 s in the queue of the listener. Evidence: the first decision on a new connection 1.0 and 1.3 s after the start, no line between.

--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -30,8 +30,10 @@
 const ORDERS_MOST: usize = 4;
 /// Descriptors that are neither viewers' nor streamers': the runtime's, the listener, the journal service, logs.
 const OWN_SOCKETS: usize = 24;
-/// Of them so many may be viewers' connections that are closed and still read for a moment.
-const CLOSING_MOST: usize = 8;
+/// Viewers' connections that are closed and still read for a moment: so many of the descriptors above, or this part of
+/// all where that is more. Symptom: a crowd that says nothing is let go a few at a time, and who asks waits behind it.
+const CLOSING_LEAST: usize = 8;
+const CLOSING_PART: usize = 16;
 /// Subscriptions and wishes in hand at most. Guards against memory filled by those who only ask.
 const HELD_MOST: usize = 4096;
 /// Seconds after which streamers close an idle connection, where the settings don't say, and the part of that after
@@ -216,7 +218,9 @@
     };
     let sheet = lemontide_sheet::sheet(&config.settings).map_err(unusable)?;
     let terms = terms(&sheet, &config.settings, config.limits.sockets).map_err(unusable)?;
-    let viewers_most = config.limits.sockets.saturating_sub(OWN_SOCKETS + terms.links_most).max(1);
+    let closing_most = (config.limits.sockets / CLOSING_PART).max(CLOSING_LEAST);
+    let others_most = OWN_SOCKETS + terms.links_most + closing_most - CLOSING_LEAST;
+    let viewers_most = config.limits.sockets.saturating_sub(others_most).max(1);
     // By then every set-up that was taken before the last call has its answer.
     let stop_most = terms.lanes.iter().map(|lane| lane.1).fold(STOP_LEAST, Span::max) + STOP_LEAST;
     let (from_viewers, mut viewers_said) = mpsc::channel(REPORTS_MOST);
@@ -324,7 +328,7 @@
         for _ in 0..ROUND {
             if let Some(socket) = doorway.take() {
                 let (held, closing) = (sockets.viewers.len(), sockets.writing.len());
-                if held >= viewers_most || closing >= viewers_most + CLOSING_MOST {
+                if held >= viewers_most || closing >= viewers_most + closing_most {
                     // Nobody is turned away while another has room to make, and nobody who is owed an answer is cut.
                     if held >= viewers_most {
                         desk.make_room();
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -329,3 +329,19 @@
     world.desk.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now);
     assert_eq!((world.desk.in_hand(), world.desk.spare()), (in_hand, Some(VIEWERS)));
 }
+
+/// A crowd that says nothing fills the descriptors: several of it are let go at a time, so that who asks does not wait
+/// behind it, and none that is owed an answer.
+#[test]
+fn several_idle_connections_make_room_at_a_time() {
+    let mut world = World::new();
+    (2..40).for_each(|conn| world.desk.viewer_up(world.now, conn));
+    let asks = 2;
+    world.ask_on(asks, wish("free"));
+    for _ in 0..8 {
+        world.desk.make_room();
+    }
+    world.perform();
+    assert!(world.retired.len() > 4, "one after the other: {:?}", world.retired);
+    assert!(world.retired.iter().all(|(conn, _)| *conn != asks));
+}
