A number is refused while its ended stream may still stand at its server

Callers would see the rule on duplicates broken. The desk's one place for what may still be out now covers ends that are not known to be read. The new test fails without it (attempt at once).

--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -47,9 +47,11 @@
         self.unproven.push_back(Unproven { session, attempt, until: now + UNPROVEN_FOR });
     }
 
-    /// Whether an attempt under this session may still be out, though no request in hand has it.
+    /// Whether an attempt under this session may still be out, or its stream may still stand, though nothing in hand
+    /// has it.
     pub(super) fn is_unproven(&self, session: u64) -> bool {
         self.unproven.iter().any(|unproven| unproven.session == session)
+            || self.ends.iter().any(|end| end.session == session)
     }
 
     /// Ends what is out of a request whose viewer is gone; how it is told to the module.
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -259,6 +259,23 @@
     }
 }
 
+/// A client ends its stream and asks again under the same number: nothing may begin before the end is read.
+#[test]
+fn a_number_whose_stream_may_still_stand_is_refused() {
+    let mut world = World::new();
+    let (session, link) = world.playing("free");
+    world.unread = [link].into();
+    world.say(VIEWERS, session, Body::release(cause::NORMAL));
+    world.desk.viewer_up(world.now, 2);
+    world.say(2, session, Body::SetUp(wish("free")));
+    assert_eq!(order_of(&world, session), [true, false], "its stream may still stand");
+    assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
+    world.tell_on(link, session, Body::Heard);
+    world.desk.viewer_up(world.now, 3);
+    world.say(3, session, Body::SetUp(wish("free")));
+    assert_eq!(order_of(&world, session), [true, false, true]);
+}
+
 /// Set-ups wait for a dial; half of their viewers leave, and then it comes up.
 #[test]
 fn what_waits_for_a_dial_is_not_sent_once_its_viewer_left() {
