--- a/crates/lemontide-standin/src/soak/client.rs
+++ b/crates/lemontide-standin/src/soak/client.rs
@@ -3,7 +3,7 @@
 
 use super::node::{Node, Status};
 use super::plan::{draw, Plan};
-use super::record::{Answer, BadClient, Record, Request, Signal, CLASSES};
+use super::record::{Answer, BadClient, ClientConnection, Record, Request, Signal, CLASSES};
 use bytes::{Bytes, BytesMut};
 use lemontide_platform::codec::{cause, Body, Codec, Figures, Message, SetUp};
 use std::collections::BTreeSet;
@@ -79,7 +79,7 @@
 
 /// Runs one client, connection after connection.
 pub async fn run(world: Arc<World>, slot: u64) {
-    let mut number = 0;
+    let (mut number, mut connections) = (0, 0);
     let mut crossed = Vec::new();
     while world.record.now() < world.until {
         if !may_connect(&world) {
@@ -93,8 +93,10 @@
         let _ = socket.set_nodelay(true);
         let (read, write) = socket.into_split();
         let (writes, written) = mpsc::unbounded_channel();
+        connections += 1;
         let mut connection = Connection {
             world: world.clone(),
+            key: ClientConnection { node: world.node.at, client: slot, number: connections },
             slot,
             number: &mut number,
             writes,
@@ -148,6 +150,7 @@
 
 struct Connection<'a> {
     world: Arc<World>,
+    key: ClientConnection,
     slot: u64,
     number: &'a mut u64,
     writes: mpsc::UnboundedSender<Write>,
@@ -223,6 +226,7 @@
             id,
             class,
             node: self.world.node.at,
+            connection: self.key,
             sent: f64::INFINITY,
             wait,
             is_repeated: false,
@@ -252,6 +256,7 @@
         let set_up = set_up(&self.world.plan, request.class.name, wait, id % 8);
         if let Some(again) = self.world.record.book().request(id) {
             again.is_sent_again = true;
+            again.connection = self.key;
             again.sent = f64::INFINITY;
             again.is_first = std::mem::take(&mut self.is_first);
         }
@@ -271,6 +276,7 @@
                     request.left = Some(now);
                 }
             }
+            book.client_closes.push((now, self.key));
             return true;
         }
         let Some(request) = book.request(id) else { return false };
@@ -368,6 +374,7 @@
         id,
         class,
         node: world.node.at,
+        connection: ClientConnection::default(),
         sent: now,
         wait: class.deadline,
         is_repeated: true,
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -110,6 +110,7 @@
         node.end().await;
     }
     let book = record.book();
+    std::fs::write(folder.join("record.txt"), report::record(&plan, &book))?;
     let was_late = book.lateness.0 > LATE_MOST;
     let logs: Vec<PathBuf> = cluster.nodes.iter().map(|node| node.log_file()).collect();
     Ok(Outcome {
--- a/crates/lemontide-standin/src/soak/record.rs
+++ b/crates/lemontide-standin/src/soak/record.rs
@@ -32,11 +32,21 @@
     Failed,
 }
 
+/// A client's connection: its node, the client, and which of its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientConnection {
+    pub node: usize,
+    pub client: u64,
+    pub number: u64,
+}
+
 #[derive(Clone, Debug)]
 pub struct Request {
     pub id: u64,
     pub class: Class,
     pub node: usize,
+    /// The connection that it was last sent on.
+    pub connection: ClientConnection,
     /// When its last byte was written, and how long the client waits.
     pub sent: f64,
     pub wait: f64,
@@ -168,6 +178,8 @@
     pub over_limit: Vec<(f64, usize, String)>,
     /// The longest that the stand-ins themselves were late, in seconds, and when.
     pub lateness: (f64, f64),
+    /// Connections that clients closed, and when.
+    pub client_closes: Vec<(f64, ClientConnection)>,
     /// Servers that died, and when.
     pub deaths: Vec<(f64, usize)>,
 }
--- a/crates/lemontide-standin/src/soak/report.rs
+++ b/crates/lemontide-standin/src/soak/report.rs
@@ -26,6 +26,17 @@
     )
 }
 
+/// All requests and attempts of a run, its signals and its list: kept beside the logs.
+pub fn record(plan: &Plan, book: &Book) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = write_signals(&mut text, book).and_then(|()| write_list(&mut text, plan, book));
+    for request in &book.requests {
+        let _ = write_session(&mut text, plan, book, request.id);
+    }
+    text
+}
+
 /// What broke, with all that is known of it.
 pub fn report(plan: &Plan, record: &Record, book: &Book, breaks: &[Break], logs: &[PathBuf]) -> String {
     if breaks.is_empty() {
@@ -149,6 +160,9 @@
             server_name(plan.seed, event.server)
         )?;
     }
+    let closes: Vec<String> =
+        book.client_closes.iter().map(|(at, of)| format!("n{} {at:.3}", of.node)).collect();
+    writeln!(text, "Connections that clients closed: {}", closes.join(", "))?;
     for (at, server) in &book.deaths {
         writeln!(text, "{at:.3} {} died", server_name(plan.seed, *server))?;
     }
