--- a/crates/lemontide-standin/src/platform.rs
+++ b/crates/lemontide-standin/src/platform.rs
@@ -24,6 +24,15 @@
     io::Error::new(io::ErrorKind::TimedOut, "nothing came in time")
 }
 
+/// A message as it is written. What stand-ins say fits into one; what does not is nothing.
+pub fn bytes_of(message: Message) -> Vec<u8> {
+    let mut bytes = BytesMut::new();
+    match Codec.encode(message, &mut bytes) {
+        Ok(()) => bytes.to_vec(),
+        Err(_) => Vec::new(),
+    }
+}
+
 /// One end of a connection that speaks the platform's messages.
 pub struct End(Framed<TcpStream, Codec>);
 
@@ -133,9 +142,7 @@
     }
 
     pub async fn say(&mut self, session: u64, body: Body) -> io::Result<()> {
-        let mut bytes = BytesMut::new();
-        Codec.encode(Message { session, body }, &mut bytes)?;
-        self.write(&bytes).await
+        self.write(&bytes_of(Message { session, body })).await
     }
 
     /// Whether the task has taken all that was to be said. It writes what it takes at once, in the same step.
--- a/crates/lemontide-standin/src/soak/client.rs
+++ b/crates/lemontide-standin/src/soak/client.rs
@@ -1,9 +1,14 @@
 //! Clients of one node: connections that stay, leave early, write slowly, send as a connection closes, and go on until
-//! the node is killed; and clients that send what can't be used.
+//! the node is killed.
+
+mod bad;
+
+pub use bad::{run_bad, run_idle, run_repeater, BAD_CLIENT_WAITS};
 
 use super::node::{Node, Status};
 use super::plan::{draw, Plan};
-use super::record::{Answer, BadClient, ClientConnection, Record, Request, Signal, CLASSES};
+use super::record::{Answer, ClientConnection, Record, Request, CLASSES};
+use crate::platform::bytes_of;
 use bytes::{Bytes, BytesMut};
 use lemontide_platform::codec::{cause, Body, Codec, Figures, Message, SetUp};
 use std::collections::BTreeSet;
@@ -14,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout};
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Decoder;
 
 /// After SIGTERM new connections are opened for so long, in seconds.
 const NEW_CONNECTIONS_FOR: f64 = 0.3;
@@ -26,9 +31,6 @@
 const SLOW_WRITE: f64 = 0.15;
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 const BETWEEN_CONNECTS: Duration = Duration::from_millis(30);
-/// A bad client is owed a word within this time, in seconds; it waits somewhat longer.
-pub const BAD_CLIENT_WAITS: f64 = 3.0;
-const BETWEEN_BAD_CLIENTS: Duration = Duration::from_millis(400);
 
 /// What clients need of the run.
 pub struct World {
@@ -48,13 +50,6 @@
     pauses: f64,
 }
 
-fn bytes_of(message: Message) -> Vec<u8> {
-    let mut bytes = BytesMut::new();
-    // What stand-ins say fits into a message.
-    let _ = Codec.encode(message, &mut bytes);
-    bytes.to_vec()
-}
-
 fn set_up(plan: &Plan, class: &str, wait_ms: u64, title: u64) -> SetUp {
     SetUp {
         lane: class.into(),
@@ -338,144 +333,11 @@
     }
 }
 
-/// Opens connections to a node on which nothing is ever said, until as many are open as the plan says.
-pub async fn run_idle(world: Arc<World>) {
-    let mut open = Vec::new();
-    while world.record.now() < world.until {
-        if *world.node.status.borrow() != Status::Up {
-            open.clear();
-        } else if open.len() < world.plan.idle_connections {
-            if let Ok(Ok(socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await {
-                open.push(socket);
-                continue;
-            }
-        }
-        sleep(BETWEEN_CONNECTS).await;
-    }
-}
-
-/// Sends one request after the other, each once more under its number soon after it was cancelled, answered or left.
-pub async fn run_repeater(world: Arc<World>) {
-    let mut number = 0;
-    while world.record.now() < world.last_request {
-        sleep(BETWEEN_BAD_CLIENTS / 2).await;
-        if *world.node.status.borrow() == Status::Up {
-            number += 1;
-            tokio::spawn(repeat(world.clone(), number));
-        }
-    }
-}
-
-async fn repeat(world: Arc<World>, number: u64) {
-    let id = 0x4e9e_0000_0000_0000 | ((world.node.at as u64) << 32) | number;
-    let class = CLASSES[1];
-    let now = world.record.now();
-    let request = Request {
-        id,
-        class,
-        node: world.node.at,
-        connection: ClientConnection::default(),
-        sent: now,
-        wait: class.deadline,
-        is_repeated: true,
-        is_first: true,
-        left: None,
-        answers: Vec::new(),
-        closed: None,
-        is_sent_again: true,
-        over: None,
-    };
-    {
-        let mut book = world.record.book();
-        let at = book.requests.len();
-        book.by_id.insert(id, at);
-        book.requests.push(request);
-    }
-    let set_up = set_up(&world.plan, class.name, (class.deadline * 1e3) as u64, id % 8);
-    let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
-    for time in 0..3 {
-        let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
-            return;
-        };
-        if socket.write_all(&bytes).await.is_err() {
-            return;
-        }
-        let mut answer = [0; 64];
-        let wait = 0.8 * draw(world.plan.seed, id, time);
-        let _ = timeout(Duration::from_secs_f64(wait), socket.read(&mut answer)).await;
-        if number.is_multiple_of(2) {
-            let cancel = bytes_of(Message { session: id, body: Body::release(cause::NORMAL) });
-            let _ = socket.write_all(&cancel).await;
-        }
-    }
-}
-
 /// How long after its time a client still listens for an answer.
 pub fn listens_until(request: &Request) -> f64 {
     request.sent + request.wait + GIVES_UP_AFTER
 }
 
-/// Clients that send what can't be used, one after the other.
-pub async fn run_bad(world: Arc<World>) {
-    let mut number = 0;
-    while world.record.now() < world.last_request {
-        sleep(BETWEEN_BAD_CLIENTS).await;
-        if *world.node.status.borrow() != Status::Up {
-            continue;
-        }
-        number += 1;
-        tokio::spawn(bad_client(world.clone(), number));
-    }
-}
-
-/// What a bad client sends; none where it sends too much to be held here.
-fn bad_bytes(world: &World, number: u64) -> (&'static str, Vec<u8>) {
-    let plan = &world.plan;
-    let id = 0xbad0_0000_0000_0000 | ((world.node.at as u64) << 32) | number;
-    let message = |session, set_up| bytes_of(Message { session, body: Body::SetUp(set_up) });
-    let usable = set_up(plan, CLASSES[1].name, 3000, 1);
-    match number % 8 {
-        0 => ("noise", (0..200u32).map(|n| (n * 37 % 251) as u8).collect()),
-        1 => ("a message that never ends", vec![63, 255, 1, 0, 0]),
-        2 => ("a length of nothing", vec![0, 0, 0, 0]),
-        3 => ("no such class", message(id, SetUp { lane: "none".into(), ..usable })),
-        4 => ("no such cells", message(id, SetUp { figures: Some(Figures::default()), ..usable })),
-        5 => ("no id", message(0, usable)),
-        6 => ("no title", message(id, SetUp { title: String::new(), ..usable })),
-        _ => ("an answer", bytes_of(Message { session: id, body: Body::Move })),
-    }
-}
-
-async fn bad_client(world: Arc<World>, number: u64) {
-    let connected = world.record.now();
-    let (what, bytes) = bad_bytes(&world, number);
-    let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
-        return;
-    };
-    let mut client = BadClient {
-        node: world.node.at,
-        what,
-        connected,
-        heard: None,
-        was_served: false,
-        is_void: socket.write_all(&bytes).await.is_err(),
-    };
-    let mut heard = [0; 512];
-    let wait = Duration::from_secs_f64(BAD_CLIENT_WAITS + 0.5);
-    if let Ok(read) = timeout(wait, socket.read(&mut heard)).await {
-        client.heard = Some(world.record.now());
-        let mut said = BytesMut::from(&heard[..read.unwrap_or(0)]);
-        let answer = Codec.decode(&mut said);
-        client.was_served = matches!(answer, Ok(Some(Message { body: Body::Answer { .. }, .. })));
-    }
-    let mut book = world.record.book();
-    let went = book.next_signal(world.node.at, connected, |signal| {
-        matches!(signal, Signal::Kill | Signal::Terminate | Signal::Exited { .. })
-    });
-    client.is_void |= went.is_some();
-    book.bad_clients.push(client);
-}
-
 /// Hands all that stands over to a node that was started again, and goes on hearing it there.
 pub async fn hand_over_all(world: Arc<World>, name: impl Fn(usize) -> String) {
     let standing: Vec<(Request, usize)> = {
