The soak counts SIGKILL from when the process is no more

Traced: sent at 6.833, SIGKILL noted at 6.833 just before it was sent; the request was written between the two, to a process that was killed before it could answer, and the judge looked for a SIGKILL after the request. Nothing was owed. Now it is noted once the process is gone; the judge is unchanged.

--- a/crates/lemontide-standin/src/soak/node.rs
+++ b/crates/lemontide-standin/src/soak/node.rs
@@ -173,14 +173,15 @@
         self.start().await
     }
 
-    /// Ends the process for good, or until it is started again.
+    /// Ends the process for good, or until it is started again. SIGKILL counts from when the process is no more: what
+    /// was sent until then, it may have found.
     pub async fn end(&self) {
-        self.record.signal(self.at, Signal::Kill);
         self.status.send_replace(Status::Down);
         if let Some(mut child) = self.child.lock().await.take() {
             let _ = child.start_kill();
             let _ = child.wait().await;
         }
+        self.record.signal(self.at, Signal::Kill);
     }
 
     pub async fn reconfigure(&self, times: usize) -> io::Result<()> {
