A release of an earlier attempt does not prove the next one over

The third attempt left 35 ms after the second, on a connection with a delay of 0.3 s both ways.

Cause: an attempt that stood with its answer lost ended at its streamer (1.033) before its end was read there (1.065 at the earliest). The streamer says such a release again on other connections, and the desk took the copy on the connection of the second attempt for that one's end. The same by the code for a second attempt that was given up, where a late acknowledgement counted as well, for one that plays, and for a number that is asked again after its session was over.

Change: evidence is told apart by what it may concern. A refusal or failure of a set-up proves; a release, or the acknowledgement of an end, proves only where no earlier attempt of the request began at that streamer. Otherwise the attempt goes on to its answer or its deadline. What plays after such an attempt and is released is ended at its streamer too. A number under which an attempt began is refused for 8 s after its request is over.

`a_number_whose_stream_may_still_stand_is_refused` took the number again at once after the end was read: the streamer may have released it of its own accord just before and say so again. It is refused for those 8 s now and taken afterwards.

--- a/crates/lemontide-cli/tests/overlapping_attempts.rs
+++ b/crates/lemontide-cli/tests/overlapping_attempts.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{set_up, Served};
-use lemontide_platform::codec::Body;
+use common::{answer, set_up, Served};
+use lemontide_platform::codec::{cause, Body};
 use lemontide_standin::platform::{Attended, End, SOON};
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -16,6 +16,8 @@
 const DEADLINE_S: f64 = 5.0;
 /// An attempt without an answer is given up by then.
 const GIVEN_UP: Duration = Duration::from_millis(1000);
+/// Well before an attempt without an answer is given up.
+const BEFORE_GIVEN_UP: Duration = Duration::from_millis(300);
 
 async fn start(streamers: usize) -> Served {
     let class = |config: &mut serde_json::Value| {
@@ -102,3 +104,19 @@
     let twice: Vec<_> = attempts.iter().filter(|(_, on)| on.len() > 1).collect();
     assert!(twice.is_empty(), "sessions with several attempts, by connection: {twice:?}");
 }
+
+/// The first attempt stood with its answer lost; its release comes once more on the connection of the second.
+#[tokio::test]
+async fn no_third_attempt_after_a_release_of_the_first() {
+    let served = start(1).await;
+    let mut viewer = served.viewer().await;
+    viewer.say(1, set_up("free", None)).await.expect("sent");
+    let mut link = End::of(accept(&served.streamers[0].listener).await).attend();
+    assert!(set_up_comes(&mut link, 1, SOON).await);
+    assert!(set_up_comes(&mut link, 1, SOON).await, "the end of the first is read");
+    link.say(1, Body::release(cause::NORMAL)).await.expect("sent");
+    assert!(!set_up_comes(&mut link, 1, BEFORE_GIVEN_UP).await, "the second attempt is out");
+    link.say(1, answer()).await.expect("sent");
+    let heard = timeout(SOON, viewer.hear()).await.expect("in time").expect("told");
+    assert!(matches!(heard.body, Body::Answer { .. }), "{heard:?}");
+}
--- a/crates/lemontide-front/src/core/attempt.rs
+++ b/crates/lemontide-front/src/core/attempt.rs
@@ -16,8 +16,10 @@
 pub enum Proof {
     /// It was withdrawn before its first byte was written.
     NeverBegan,
-    /// Its streamer said how it ended.
-    Answered,
+    /// Its streamer refused or failed its set-up.
+    SetUpRefused,
+    /// Its streamer released it.
+    Released,
     /// Its streamer passed a test that came behind its end on its connection.
     EndRead,
     /// Its streamer acknowledged its end.
@@ -28,15 +30,25 @@
     ProcessGone,
 }
 
+impl Proof {
+    /// Whether a session may have stood at the streamer, whose release it may say, or say again, later.
+    pub fn allows_a_later_release(self) -> bool {
+        !matches!(self, Proof::NeverBegan | Proof::SetUpRefused | Proof::ProcessGone)
+    }
+}
+
 /// What is heard of a connection and may prove that attempts on it are over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
     /// The streamer passed the test of this number.
     TestPassed { test: u64 },
-    /// The streamer acknowledged the end of the attempt.
+    /// The streamer acknowledged the end of an attempt under this session.
     EndAcknowledged,
-    /// The streamer said how the attempt ended.
-    Answered,
+    /// The streamer refused or failed a set-up under this session, in words that concern no standing session.
+    SetUpRefused,
+    /// The streamer released this session: the set-up that is out, or what an earlier one had set up there. It may
+    /// repeat that on any connection.
+    Released,
     /// The streamer closed or reset the connection, where no session outlives its connection.
     ClosedByStreamer,
     /// The connection was refused.
@@ -50,6 +62,9 @@
     pub on: Connection,
     /// The streamer closed the connection that carried it. It reads nothing more of that, but the session may stand.
     pub is_closed: bool,
+    /// No earlier attempt of its session began at its streamer, so whatever the streamer says of the session is about
+    /// this one.
+    pub is_first: bool,
     /// How it is told to the decision module.
     pub ending: Ending,
     /// Number of the test that was sent behind its end, where one could be sent.
@@ -67,8 +82,9 @@
             Evidence::TestPassed { test } => {
                 self.test.filter(|behind| *behind <= test).map(|_| Proof::EndRead)
             }
-            Evidence::EndAcknowledged => Some(Proof::EndAcknowledged),
-            Evidence::Answered => Some(Proof::Answered),
+            Evidence::EndAcknowledged => self.is_first.then_some(Proof::EndAcknowledged),
+            Evidence::SetUpRefused => Some(Proof::SetUpRefused),
+            Evidence::Released => self.is_first.then_some(Proof::Released),
             Evidence::ClosedByStreamer => Some(Proof::ClosedByStreamer),
             Evidence::Refused => self.is_closed.then_some(Proof::ProcessGone),
         }
--- a/crates/lemontide-front/src/core/driver/attempts.rs
+++ b/crates/lemontide-front/src/core/driver/attempts.rs
@@ -84,7 +84,7 @@
         let dial = self.known.get(at).map_or(0, |known| known.link.dial);
         let on = Connection { link: at as u64, dial };
         let (number, handed) = (out.number, out.handed);
-        out.given_up = Some(GivenUp { on, is_closed: false, ending, test });
+        out.given_up = Some(GivenUp { on, is_closed: false, is_first: true, ending, test });
         tracing::debug!(target: "attempt", ask = held.ask, number, ?on, ?ending, ?test, "given up, not proven over");
         let left = held.left;
         self.count_end(now, at, handed, ending, false);
--- a/crates/lemontide-platform/src/codec.rs
+++ b/crates/lemontide-platform/src/codec.rs
@@ -56,6 +56,12 @@
     pub const MOOT: u8 = 102;
     /// Not usable as it was sent.
     pub const UNUSABLE: u8 = 111;
+
+    /// Whether a streamer that gives this cause refuses or fails a set-up. Any other may also end what stands, and be
+    /// said again on another connection.
+    pub fn ends_a_set_up(cause: u8) -> bool {
+        [FULL, ERROR, MOOT].contains(&cause)
+    }
 }
 
 /// The figures of a viewer's wish.
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod connections;
+mod ended;
 mod list;
 mod viewers;
 
@@ -14,6 +15,7 @@
 use crate::steps::{Outcome, Steps};
 use crate::viewers::Said;
 use bytes::Bytes;
+use ended::EndedSessions;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, Handle};
 use lemontide::interface::{Ending, Line, Load, Sheet, Shot, Stage, Value, Wish};
@@ -126,6 +128,8 @@
     not_after: Point,
     /// From the moment in which it begins it may have run.
     permit: Permit,
+    /// No earlier attempt of its request began at its streamer.
+    is_first: bool,
     /// It is given up, and the next attempt waits for a proof that it is over.
     given_up: Option<GivenUp>,
 }
@@ -171,12 +175,27 @@
     /// When its last attempt began.
     begun: Option<Point>,
     out: Option<Out>,
+    /// Streamers that may have set it up in an earlier attempt, and may still release that.
+    attempted_at: Vec<Rc<str>>,
     /// Since when it plays.
     playing: Option<Point>,
     /// The connection that carries what is said of it to its streamer while it plays: order holds within one only.
     carrier: Option<Connection>,
 }
 
+impl Held {
+    /// Whether what a streamer says of this session can concern no earlier attempt.
+    fn is_first_at(&self, at: &Rc<str>) -> bool {
+        !self.attempted_at.contains(at)
+    }
+
+    /// Whether a streamer may know of this session.
+    fn has_begun(&self) -> bool {
+        let is_out = self.out.as_ref().is_some_and(|out| out.permit.has_begun());
+        is_out || self.begun.is_some() || self.playing.is_some()
+    }
+}
+
 struct Known {
     entry: Entry,
     links: Vec<u64>,
@@ -224,7 +243,9 @@
         let Some(sent) = self.sent.as_ref().filter(|sent| sent.on == on) else { return false };
         match evidence {
             Evidence::TestPassed { test } => test > sent.after_test,
-            Evidence::EndAcknowledged | Evidence::Answered => session == Some(self.session),
+            Evidence::EndAcknowledged | Evidence::SetUpRefused | Evidence::Released => {
+                session == Some(self.session)
+            }
             // What stands belongs to no connection, and stands on.
             Evidence::ClosedByStreamer | Evidence::Refused => false,
         }
@@ -282,6 +303,8 @@
     /// Releases for streamers that are not known to be read.
     ends: VecDeque<End>,
     unproven: VecDeque<Unproven>,
+    /// Sessions under which an attempt began, and which are not in hand any more.
+    ended: EndedSessions,
     /// Connections that this end has done with, whose streamer's close is awaited: they hold a descriptor.
     closing: BTreeSet<Connection>,
     /// Number of the last test that was sent to a streamer.
@@ -315,6 +338,7 @@
             over: VecDeque::new(),
             ends: VecDeque::new(),
             unproven: VecDeque::new(),
+            ended: EndedSessions::default(),
             closing: BTreeSet::new(),
             last_test: 0,
             effects: Vec::new(),
@@ -369,6 +393,7 @@
             self.looked_after = now;
             self.owed.retain(|(until, _)| now <= *until);
             self.unproven.retain(|unproven| now <= unproven.until);
+            self.ended.forget_old(now);
             self.end_again(now);
             self.end_elsewhere(now);
         }
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -22,11 +22,11 @@
 
     /// Gives up an attempt that has begun; what is known of its end. Nothing is written yet.
     fn give_up(&mut self, out: &mut Out, ending: Ending) -> GivenUp {
-        let on = out.on;
+        let (on, is_first) = (out.on, out.is_first);
         if let Some(wire) = self.wires.get_mut(&on.link).filter(|_| out.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
         }
-        *out.given_up.get_or_insert(GivenUp { on, is_closed: false, ending, test: None })
+        *out.given_up.get_or_insert(GivenUp { on, is_closed: false, is_first, ending, test: None })
     }
 
     /// Tells a streamer that an attempt is given up, and sends a test behind it, whose number is returned: once it is
@@ -47,10 +47,11 @@
         self.unproven.push_back(Unproven { session, attempt, until: now + UNPROVEN_FOR });
     }
 
-    /// Whether an attempt under this session may still be out, or its stream may still stand, though nothing in hand
-    /// has it.
+    /// Whether an attempt under this session may still be out, its stream may still stand, or its streamer may still
+    /// release it, though nothing in hand has it.
     pub(super) fn is_unproven(&self, session: u64) -> bool {
         self.unproven.iter().any(|unproven| unproven.session == session)
+            || self.ended.contains(session)
             || self.ends.iter().any(|end| end.session == session)
     }
 
@@ -68,9 +69,12 @@
         Ending::Cancelled
     }
 
-    pub(super) fn remove(&mut self, id: u32) -> Option<Held> {
+    pub(super) fn remove(&mut self, now: Point, id: u32) -> Option<Held> {
         let held = self.held.remove(&id)?;
         self.by_session.remove(&held.session);
+        if held.has_begun() {
+            self.ended.insert(now, held.session);
+        }
         if held.playing.is_none() {
             if let Some(conn) = self.conns.get_mut(&held.conn) {
                 conn.open = conn.open.saturating_sub(1);
@@ -268,6 +272,9 @@
     pub(super) fn attempt_over(&mut self, now: Point, id: u32, ending: Ending, load: Load, proof: Proof) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.out.take() else { return };
+        if proof.allows_a_later_release() && held.is_first_at(&held.at) {
+            held.attempted_at.push(held.at.clone());
+        }
         held.begun = out.permit.begun_at().or(held.begun);
         if let Some(wire) = self.wires.get_mut(&out.on.link).filter(|_| out.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
@@ -282,7 +289,7 @@
     /// What plays is over: the module is told, and so is its viewer, where it is owed a release.
     pub(super) fn stream_over(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
         self.tell_ended(now, id, ending, load);
-        let Some(held) = self.remove(id) else { return };
+        let Some(held) = self.remove(now, id) else { return };
         match ending {
             Ending::Served => self.release(now, held.conn, held.session, cause::NORMAL),
             // Its viewer ended it and is owed nothing.
@@ -321,7 +328,7 @@
                 self.finish(now, id, Body::release(cause::BROKEN), Outcome::Failed);
             }
             for id in results.moved.drain(..) {
-                let Some(held) = self.remove(id) else { continue };
+                let Some(held) = self.remove(now, id) else { continue };
                 self.end_at(now, &held.at, held.session);
                 held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
                 self.say(held.conn, held.session, Body::Move);
@@ -334,7 +341,7 @@
 
     /// The one answer of a wish that came to nothing.
     pub(super) fn finish(&mut self, now: Point, id: u32, body: Body, outcome: Outcome) {
-        let Some(held) = self.remove(id) else { return };
+        let Some(held) = self.remove(now, id) else { return };
         self.turn_away(held.conn, held.session);
         tracing::debug!(
             target: "decision",
@@ -395,7 +402,8 @@
         );
         // No link has this number: it is not on one yet.
         let on = Connection { link: 0, dial: 0 };
-        held.out = Some(Out { number, on, deadline, not_after, permit, given_up: None });
+        let is_first = held.is_first_at(&at);
+        held.out = Some(Out { number, on, deadline, not_after, permit, is_first, given_up: None });
         if shot.within <= Span::ZERO || !ready {
             return self.never_began(now, vec![(id, number)], Ending::NotSent);
         }
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -175,7 +175,10 @@
         match message.body {
             Body::Tested { .. } => Some((None, Evidence::TestPassed { test: message.session })),
             Body::Heard => Some((Some(message.session), Evidence::EndAcknowledged)),
-            Body::Release { .. } => Some((Some(message.session), Evidence::Answered)),
+            Body::Release { cause, .. } if cause::ends_a_set_up(cause) => {
+                Some((Some(message.session), Evidence::SetUpRefused))
+            }
+            Body::Release { .. } => Some((Some(message.session), Evidence::Released)),
             _ => None,
         }
     }
@@ -206,11 +209,14 @@
         let (handle, plays) = (held.handle, held.playing.is_some());
         let waits = held.out.as_ref();
         let waits = waits.is_some_and(|out| out.on == on && out.given_up.is_none() && out.permit.has_begun());
+        let is_first = held.is_first_at(&at);
         if let Body::Release { cause, .. } = &message.body {
             tracing::debug!(target: "streamers", session = format!("{:016x}", message.session), cause, plays);
         }
         match message.body {
             Body::Answer { description, load } if waits => self.plays(now, id, description, load),
+            // It may be about an earlier attempt, whose answer was lost: the end of this one is still awaited.
+            Body::Release { cause, .. } if waits && !is_first && !cause::ends_a_set_up(cause) => {}
             Body::Release { cause, load, .. } if waits => {
                 let ending = match cause {
                     cause::FULL => Ending::SentBack,
@@ -220,7 +226,9 @@
                     // It may have run, and the process that says so is well: nothing is told of its health.
                     _ => Ending::Unknown,
                 };
-                self.attempt_over(now, id, ending, load, Proof::Answered);
+                let is_refusal = cause::ends_a_set_up(cause);
+                let proof = if is_refusal { Proof::SetUpRefused } else { Proof::Released };
+                self.attempt_over(now, id, ending, load, proof);
             }
             Body::Release { cause, load, .. } if plays => {
                 let ending = match cause {
@@ -228,6 +236,10 @@
                     cause::CANCELLED => Ending::Cancelled,
                     _ => Ending::Broken,
                 };
+                if !is_first {
+                    // It may be about what an earlier attempt had set up there, and what plays must not stand on.
+                    self.end_at(now, &at, message.session);
+                }
                 self.stream_over(now, id, ending, load);
             }
             Body::Note(note) if plays => match note {
--- /dev/null
+++ b/crates/lemontide-platform/src/desk/ended.rs
@@ -0,0 +1,46 @@
+//! Sessions that ended lately. Their streamers may still release them, or say a release again, so a new attempt under
+//! one of them could be taken for over.
+
+use lemontide::clock::{Point, Span};
+use std::collections::{HashSet, VecDeque};
+
+/// A streamer may say a release again for so long.
+const RELEASED_AGAIN_FOR: Span = Span::of_millis(8000);
+/// Sessions that are remembered at most.
+const SESSIONS_MOST: usize = 8192;
+
+/// The sessions that ended within the last 8 s, 8,192 at most: the oldest is forgotten first.
+#[derive(Default)]
+pub(super) struct EndedSessions {
+    by_age: VecDeque<(Point, u64)>,
+    sessions: HashSet<u64>,
+}
+
+impl EndedSessions {
+    pub(super) fn insert(&mut self, now: Point, session: u64) {
+        if !self.sessions.insert(session) {
+            return;
+        }
+        self.by_age.push_back((now, session));
+        if self.by_age.len() > SESSIONS_MOST {
+            self.forget_oldest();
+        }
+    }
+
+    pub(super) fn contains(&self, session: u64) -> bool {
+        self.sessions.contains(&session)
+    }
+
+    /// Forgets the sessions whose streamers say nothing of them any more.
+    pub(super) fn forget_old(&mut self, now: Point) {
+        while self.by_age.front().is_some_and(|(since, _)| now > *since + RELEASED_AGAIN_FOR) {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, session)) = self.by_age.pop_front() {
+            self.sessions.remove(&session);
+        }
+    }
+}
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -269,6 +269,7 @@
             decided: None,
             begun: None,
             out: None,
+            attempted_at: Vec::new(),
             playing,
             carrier: None,
         };
@@ -328,7 +329,7 @@
 
     /// A viewer stops waiting: no answer is owed, and what is out is given up.
     pub(super) fn given_up(&mut self, now: Point, id: u32) {
-        let Some(mut held) = self.remove(id) else { return };
+        let Some(mut held) = self.remove(now, id) else { return };
         if let Some(steps) = Self::steps(&held, Outcome::ViewerLeft, now) {
             steps.log(None);
         }
@@ -342,7 +343,7 @@
 
     /// The viewer ends what plays; it is owed no release.
     pub(super) fn viewer_ends(&mut self, now: Point, id: u32) {
-        let Some(held) = self.remove(id) else { return };
+        let Some(held) = self.remove(now, id) else { return };
         self.end_at(now, &held.at, held.session);
         held.handle.ended(&mut self.module, now, Ending::Cancelled, true, Load::default());
         self.carry_out(now);
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -271,9 +271,13 @@
     assert_eq!(order_of(&world, session), [true, false], "its stream may still stand");
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
     world.tell_on(link, session, Body::Heard);
-    world.desk.viewer_up(world.now, 3);
-    world.say(3, session, Body::SetUp(wish("free")));
-    assert_eq!(order_of(&world, session), [true, false, true]);
+    world.unread.clear();
+    for (conn, wait, is_taken) in [(3, 0.0, false), (4, 7.9, false), (5, 0.2, true)] {
+        world.pass(wait);
+        world.desk.viewer_up(world.now, conn);
+        world.say(conn, session, Body::SetUp(wish("free")));
+        assert_eq!(world.shots(session) == 2, is_taken, "{wait} s later");
+    }
 }
 
 /// Set-ups wait for a dial; half of their viewers leave, and then it comes up.
@@ -361,3 +365,80 @@
     assert_eq!(world.retired.len(), 1, "{:?}", world.retired);
     assert_ne!(world.retired[0].0, asks);
 }
+
+/// A world with one streamer, at which a request's first attempt got no answer and its second one is out: its session and
+/// the link of the second.
+fn with_a_second_attempt_at_the_same_streamer(lane: &str) -> (World, u64, u64) {
+    let mut world = World::new();
+    let others = (1..STREAMERS).map(|at| entry(at, "terminating")).collect();
+    world.learn(&Hosts { full: false, servers: others });
+    let session = world.ask(lane);
+    world.pass(0.5);
+    assert_eq!(order_of(&world, session), [true, false, true], "the end of the first is read");
+    let (link, _) = world.shot(session).expect("it was sent");
+    (world, session, link)
+}
+
+/// The soak's seed 15: the first attempt had stood with its answer lost, and its streamer said its release again on the
+/// connection of the second.
+#[test]
+fn a_release_of_the_first_attempt_is_not_taken_for_the_end_of_the_second() {
+    for why in [cause::NORMAL, cause::CANCELLED, cause::BROKEN, 99] {
+        let (mut world, session, link) = with_a_second_attempt_at_the_same_streamer("free");
+        world.tell_on(link, session, Body::release(why));
+        world.pass(0.02);
+        assert_eq!(order_of(&world, session), [true, false, true], "cause {why}: the second may be out");
+        world.answer(session);
+        assert_eq!(world.answered(session), Some(0), "cause {why}");
+    }
+    for why in [cause::FULL, cause::ERROR, cause::MOOT] {
+        let (mut world, session, _) = with_a_second_attempt_at_the_same_streamer("free");
+        world.ends(session, why);
+        assert!(world.shots(session) > 2 || world.answered(session).is_some(), "cause {why} ends a set-up");
+    }
+}
+
+#[test]
+fn a_word_on_the_first_attempt_does_not_prove_the_second_over_that_was_given_up() {
+    for word in [Body::release(cause::NORMAL), Body::release(cause::BROKEN), Body::Heard] {
+        let (mut world, session, link) = with_a_second_attempt_at_the_same_streamer("free");
+        world.unread = [link].into();
+        world.pass(0.5);
+        let given_up = [true, false, true, false];
+        assert_eq!(order_of(&world, session), given_up);
+        world.tell_on(link, session, word.clone());
+        world.pass(0.05);
+        let is_decided = |world: &World| world.answered(session).is_some() || world.shots(session) > 2;
+        assert!(!is_decided(&world), "{word:?}: the second may still be out");
+        world.reads(link);
+        assert!(is_decided(&world), "{word:?}");
+    }
+}
+
+/// The release may be that of the first attempt, so what the second set up is ended at its streamer too.
+#[test]
+fn a_release_that_may_be_of_an_earlier_attempt_leaves_nothing_standing() {
+    let (mut world, session, link) = with_a_second_attempt_at_the_same_streamer("free");
+    world.answer(session);
+    world.tell_on(link, session, Body::release(cause::NORMAL));
+    assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::NORMAL, .. }]));
+    assert_eq!((world.released(session), world.desk.in_hand()), (2, 0));
+    let (session, _) = world.playing("free");
+    world.ends(session, cause::NORMAL);
+    assert_eq!(world.released(session), 0, "the release of a first attempt is its own");
+}
+
+/// A streamer says its release again on the next connection: a set-up under the same number would be taken for over.
+#[test]
+fn a_number_is_not_taken_again_while_its_streamer_may_still_release_it() {
+    let mut world = World::new();
+    let (session, _) = world.playing("free");
+    world.ends(session, cause::NORMAL);
+    world.desk.viewer_up(world.now, 2);
+    world.say(2, session, Body::SetUp(wish("free")));
+    assert_eq!(world.shots(session), 1);
+    assert!(matches!(world.said.last(), Some((2, Message { body: Body::Release { .. }, .. }))), "refused");
+    world.pass(8.2);
+    world.say(2, session, Body::SetUp(wish("free")));
+    assert_eq!(world.shots(session), 2, "nothing more is said of it");
+}
