Soak: an event told after a node's configuration was written is not known to it

Cause: the stand-in counted all events as told to a node once its configuration was written.

Change: the position that the configuration holds is the one that counts.

--- a/crates/lemontide-standin/src/soak/discovery.rs
+++ b/crates/lemontide-standin/src/soak/discovery.rs
@@ -72,15 +72,14 @@
         self.status.send_modify(|status| status.last = position);
     }
 
-    /// What a configuration holds of the list.
-    pub fn known(&self) -> Json {
+    /// What a configuration holds of the list, up to the position that is given with it.
+    pub fn known(&self) -> (u64, Json) {
         let entries = self.events().clone();
-        json!({"pos": entries.len(), "entries": entries})
+        (entries.len() as u64, json!({"pos": entries.len(), "entries": entries}))
     }
 
-    /// A process starts, which reads all events in its configuration.
-    pub fn mark_known(&self) {
-        let last = self.events().len() as u64;
+    /// A process starts, which reads all events up to this position in its configuration.
+    pub fn mark_known(&self, last: u64) {
         for position in 1..=last {
             self.mark_written(position);
         }
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -3,7 +3,7 @@
 //! stand-ins, `node` is a controller's process, `record` keeps what crossed, `judge` reads it, `report` prints it.
 
 mod client;
-mod discovery;
+pub mod discovery;
 pub mod judge;
 mod node;
 mod plan;
--- a/crates/lemontide-standin/src/soak/node.rs
+++ b/crates/lemontide-standin/src/soak/node.rs
@@ -94,26 +94,29 @@
         self.folder.join(format!("n{}.log", self.at))
     }
 
-    fn write_config(&self) -> io::Result<()> {
+    /// Writes the configuration; the position of the list that it holds.
+    fn write_config(&self) -> io::Result<u64> {
         let start = self.starts.load(std::sync::atomic::Ordering::Relaxed);
         let mut settings = self.settings.clone();
         settings["me"] = json!(self.at);
+        let (position, known) = self.discovery.known();
         let config = json!({
             "name": format!("n{}", self.at), "listen": self.listen, "seed": format!("{:x}", start * 64 + self.at as u64),
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-            "journal": self.discovery.address().to_string(), "known": self.discovery.known(), "settings": settings,
+            "journal": self.discovery.address().to_string(), "known": known, "settings": settings,
         });
         // Replaced in one step, as an operator does.
         let new = self.config_file().with_extension("new");
         std::fs::write(&new, config.to_string())?;
-        std::fs::rename(new, self.config_file())
+        std::fs::rename(new, self.config_file())?;
+        Ok(position)
     }
 
     /// Starts the process and waits until it passes a test.
     pub async fn start(self: &Arc<Node>) -> io::Result<()> {
         self.starts.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        self.write_config()?;
-        self.discovery.mark_known();
+        let position = self.write_config()?;
+        self.discovery.mark_known(position);
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_file())?;
         let command = format!("ulimit -n {SOCKETS}; exec \"$0\" --log-text serve");
         let child = Command::new("/bin/sh")
