A release that its client left unread is said again on another connection

Cause: a release counted as said once it was written to a client's socket. Where the client closes that connection at the same time, nobody reads it. A release whose writing failed half way was forgotten as well.

Change: `outbox` keeps the releases of a connection that were written within 0.25 s. Where the other end resets the connection, which is how its system says that something was left unread, they go to the desk once more, which says them on another connection. After a close without a reset it is looked for for 20 ms.

The judge of the soak let pass a release within 0.05 s of its own client's close. It doesn't any more, and prints which connection a request came on, which ones clients closed, and when a release was written and heard.

--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -355,6 +355,7 @@
         let good = self.conns.iter().filter(|(_, conn)| conn.good).max_by_key(|(_, conn)| conn.said);
         match own.or(good.map(|(conn, _)| *conn)) {
             Some(conn) => {
+                tracing::debug!(target: "viewers", session = format!("{session:016x}"), conn, why, "release");
                 let message = Message { session, body: Body::release(why) };
                 self.effects.push(Effect::Say { conn, message, stood: true, steps: None });
             }
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -182,6 +182,7 @@
                 desk.viewer_gone(now, conn);
                 desk.unsaid(now, unsaid);
             }
+            viewers::Report::Unread { unread } => desk.unsaid(now, unread),
         }
     }
 
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -1,22 +1,20 @@
 //! Viewers' connections: reads what comes, writes what the desk says, ends what can't be read. Nothing is decided
 //! here but whether a connection is still idle in the moment in which it would be closed.
 
-use crate::codec::{Codec, Message};
+use crate::codec::Message;
+use crate::outbox::Outbox;
 use crate::reader::Reader;
 use crate::steps::Steps;
-use futures::{FutureExt, SinkExt};
+use futures::FutureExt;
 use lemontide::clock::Point;
 use lemontide_wire::clock::Clock;
-use std::collections::VecDeque;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::{timeout, Instant};
-use tokio_util::codec::FramedWrite;
+use tokio::time::{sleep, timeout, Instant};
 
 /// A new connection must have said something whole by then, and a message must be whole so long after its first
 /// bytes. Guards against those who connect, or begin, and say no more: the platform owes them a close within 3 s.
@@ -26,6 +24,8 @@
 /// What still comes after this end closed is read for so long: the platform's slack for what crosses a close. Guards
 /// against a reset that overtakes the last answer, as a close with unread bytes sends one.
 const LINGER: Duration = Duration::from_millis(50);
+/// A reset for what was written to a connection that the other end had closed comes within this time.
+const RESET_WITHIN: Duration = Duration::from_millis(20);
 
 /// What a viewers' connection reports.
 pub enum Report {
@@ -37,6 +37,8 @@
     },
     /// It is over; what was to be said on it and was not.
     Gone { conn: u64, unsaid: Vec<Said> },
+    /// What was said on a connection that is over, and not read by its client.
+    Unread { unread: Vec<Said> },
 }
 
 /// A message to a viewer; with `stood` it ends what stood, and may be said on any other connection as well.
@@ -59,8 +61,8 @@
 
 /// How a connection came to its end.
 enum End {
-    /// The other end is gone, or can't be understood or reached.
-    Theirs,
+    /// The other end is gone, or can't be understood or reached; whether it reset the connection.
+    Theirs { is_reset: bool },
     /// This end is done with it.
     Ours,
 }
@@ -76,16 +78,15 @@
     // Answers are small and urgent.
     let _ = socket.set_nodelay(true);
     let (read, write) = socket.into_split();
-    let mut sink = FramedWrite::new(write, Codec);
+    let mut outbox = Outbox::new(clock, write);
     let mut frames = Reader::new(read, WHOLE_WITHIN);
-    let mut unsaid = VecDeque::new();
     let (retire, retire_at) = (Notify::new(), AtomicU64::new(u64::MAX));
     let writer = async {
         while let Some(word) = words.recv().await {
             let mut next = Some(word);
             while let Some(word) = next {
                 match word {
-                    Word::Say(said) => unsaid.push_back(*said),
+                    Word::Say(said) => outbox.push(*said),
                     Word::Retire { heard } => {
                         retire_at.store(heard, Ordering::Release);
                         retire.notify_one();
@@ -93,9 +94,10 @@
                 }
                 next = words.try_recv().ok();
             }
-            let written = timeout(WRITE_TIMEOUT, say_all(clock, &mut sink, &mut unsaid)).await;
-            if !matches!(written, Ok(Ok(()))) {
-                return End::Theirs;
+            match timeout(WRITE_TIMEOUT, outbox.write_all()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return End::Theirs { is_reset: true },
+                Err(_) => return End::Theirs { is_reset: false },
             }
         }
         End::Ours
@@ -131,7 +133,8 @@
                 }
                 Err(e) => {
                     tracing::debug!(target: "viewers", conn, error = %e, "connection over");
-                    return if frames.is_over() { End::Theirs } else { End::Ours };
+                    let is_reset = e.kind() == io::ErrorKind::ConnectionReset;
+                    return if frames.is_over() { End::Theirs { is_reset } } else { End::Ours };
                 }
             }
         }
@@ -143,32 +146,30 @@
     words.close();
     while let Ok(word) = words.try_recv() {
         if let Word::Say(said) = word {
-            unsaid.push_back(*said);
+            outbox.push(*said);
         }
     }
     if matches!(end, End::Ours) {
-        let _ = timeout(LINGER, say_all(clock, &mut sink, &mut unsaid)).await;
-        let _ = timeout(LINGER, sink.get_mut().shutdown()).await;
+        let _ = timeout(LINGER, outbox.write_all()).await;
+        let _ = timeout(LINGER, outbox.socket().shutdown()).await;
     }
-    let _ = reports.send(Report::Gone { conn, unsaid: unsaid.into() }).await;
-    if matches!(end, End::Ours) {
-        let _ = timeout(LINGER, frames.discard(usize::MAX)).await;
+    let _ = reports.send(Report::Gone { conn, unsaid: outbox.take_unsaid() }).await;
+    let is_reset = match end {
+        End::Ours => matches!(timeout(LINGER, frames.discard(usize::MAX)).await, Ok(Err(_))),
+        End::Theirs { is_reset } => is_reset || is_reset_later(&outbox).await,
+    };
+    let unread = outbox.take_maybe_unread();
+    if is_reset && !unread.is_empty() {
+        tracing::debug!(target: "viewers", conn, unread = unread.len(), "reset before all was read");
+        let _ = reports.send(Report::Unread { unread }).await;
     }
 }
 
-/// Writes what waits; what is left in `unsaid` after an error was not.
-async fn say_all(
-    clock: Clock,
-    sink: &mut FramedWrite<OwnedWriteHalf, Codec>,
-    unsaid: &mut VecDeque<Said>,
-) -> io::Result<()> {
-    let mut answered = Vec::new();
-    while let Some(said) = unsaid.front() {
-        sink.feed(said.message.clone()).await?;
-        answered.extend(unsaid.pop_front().and_then(|said| said.steps));
+/// Whether the other end, which closed the connection, resets it for what it will not read.
+async fn is_reset_later(outbox: &Outbox) -> bool {
+    if !outbox.has_maybe_unread() {
+        return false;
     }
-    sink.flush().await?;
-    let written = Point::at(clock.now());
-    answered.iter().for_each(|steps| steps.log(Some(written)));
-    Ok(())
+    sleep(RESET_WITHIN).await;
+    outbox.is_reset()
 }
--- a/crates/lemontide-standin/src/soak/judge.rs
+++ b/crates/lemontide-standin/src/soak/judge.rs
@@ -24,9 +24,6 @@
 const LAST_CALL: f64 = 0.7;
 /// What stood must be released towards its client so long after its server's release, in seconds.
 const RELEASED_WITHIN: f64 = 1.0;
-/// A release that was said so shortly before or after its client closed its connection may have crossed that close: it is
-/// sent, and nobody reads it; in seconds.
-const CROSSES_CLOSE: f64 = 0.05;
 /// The part of restarted nodes that must be ready in time, and that time, in seconds.
 const READY_PART: f64 = 0.9;
 const READY_WITHIN: f64 = 10.0;
@@ -201,9 +198,7 @@
     // A node that goes takes what it has heard with it, and one that starts hears of it anew.
     let gone = |signal| matches!(signal, Signal::Kill | Signal::Terminate | Signal::Exited { .. });
     let is_disturbed = book.next_signal(request.node, stood.first_byte, gone).is_some();
-    let crosses = |(at, of): &(f64, _)| *of == request.connection && (at - written).abs() <= CROSSES_CLOSE;
-    let has_crossed = book.client_closes.iter().any(crosses);
-    (due < end && !is_disturbed && !has_crossed).then(|| {
+    (due < end && !is_disturbed).then(|| {
         Break::of(
             Rule::Releases,
             request.id,
--- a/crates/lemontide-standin/src/soak/node.rs
+++ b/crates/lemontide-standin/src/soak/node.rs
@@ -123,7 +123,7 @@
             .arg("-c")
             .arg(command)
             .arg(&self.program)
-            .env("LEMONTIDE_LOG", "warn,attempt=debug,decision=debug,streamers=debug")
+            .env("LEMONTIDE_LOG", "warn,attempt=debug,decision=debug,streamers=debug,viewers=debug")
             .env("RELAY_NAME", format!("n{}", self.at))
             .env("RELAY_CONFIG", self.config_file())
             .env("RELAY_LISTEN", self.listen.to_string())
--- a/crates/lemontide-standin/src/soak/report.rs
+++ b/crates/lemontide-standin/src/soak/report.rs
@@ -2,7 +2,7 @@
 
 use super::judge::{end_of, Break, Rule};
 use super::plan::Plan;
-use super::record::{Answer, Attempt, Book, ListState, Record, Request, Signal};
+use super::record::{Answer, Attempt, Book, ClientConnection, ListState, Record, Request, Signal};
 use super::server_name;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -103,19 +103,26 @@
         (None, None, Some(at)) => format!("connection closed {at:.3}"),
         (None, None, None) => "never ended".to_owned(),
     };
+    if let Some(at) = request.over {
+        let _ = write!(end, ", over {at:.3}");
+    }
     if request.is_sent_again {
         end += ", sent again after a close";
     }
     format!(
-        "id {:016x} class {} ({safety}) to n{}, sent {:.3}, would wait {}s, {end}",
-        request.id, request.class.name, request.node, request.sent, request.wait
+        "id {:016x} class {} ({safety}) to {}, sent {:.3}, would wait {}s, {end}",
+        request.id,
+        request.class.name,
+        connection_name(&request.connection),
+        request.sent,
+        request.wait
     )
 }
 
 fn attempt_line(plan: &Plan, attempt: &Attempt) -> String {
     let time = |at: Option<f64>| at.map_or("-".to_owned(), |at| format!("{at:.3}"));
     format!(
-        "{} from n{}: bytes {:.3} to {:.3}, taken {}, answered {}, ended {}: {}",
+        "{} from n{}: bytes {:.3} to {:.3}, taken {}, answered {}, ended {}, released {}: {}",
         server_name(plan.seed, attempt.server),
         attempt.node,
         attempt.first_byte,
@@ -123,10 +130,16 @@
         time(attempt.arrived),
         time(attempt.answered),
         time(attempt.ended.map(|(at, _)| at)),
+        time(attempt.release_written.map(|(at, _)| at)),
         end_of(attempt),
     )
 }
 
+/// A client's connection as it is printed: the node, the client, and which of its connections.
+fn connection_name(connection: &ClientConnection) -> String {
+    format!("n{} by c{}.{}", connection.node, connection.client, connection.number)
+}
+
 fn write_signals(text: &mut String, book: &Book) -> std::fmt::Result {
     writeln!(text, "\nSignals")?;
     for (at, node, signal) in &book.signals {
@@ -161,7 +174,7 @@
         )?;
     }
     let closes: Vec<String> =
-        book.client_closes.iter().map(|(at, of)| format!("n{} {at:.3}", of.node)).collect();
+        book.client_closes.iter().map(|(at, of)| format!("{} {at:.3}", connection_name(of))).collect();
     writeln!(text, "Connections that clients closed: {}", closes.join(", "))?;
     for (at, server) in &book.deaths {
         writeln!(text, "{at:.3} {} died", server_name(plan.seed, *server))?;
--- a/crates/lemontide-standin/tests/soak_judge.rs
+++ b/crates/lemontide-standin/tests/soak_judge.rs
@@ -162,7 +162,7 @@
         }
     };
     assert_eq!(after(true, closes(11.9)), [Rule::Releases]);
-    assert_eq!(after(true, closes(12.01)), [], "it crossed its client's close");
+    assert_eq!(after(true, closes(12.01)), [Rule::Releases], "its client has other connections");
     assert_eq!(after(true, |b| b.requests[0].over = None), [Rule::Releases]);
     assert_eq!(after(true, |b| b.signals.push((20.0, 0, Signal::Exited { well: false }))), [Rule::Crashes]);
     assert_eq!(after(true, |b| b.signals.retain(|s| s.2 != Signal::Ready)), [Rule::Crashes]);
