--- a/crates/lemontide-cli/src/soak.rs
+++ b/crates/lemontide-cli/src/soak.rs
@@ -48,7 +48,7 @@
     let (mut broken, mut late) = (Vec::new(), Vec::new());
     for outcome in outcomes {
         let outcome = outcome?;
-        if outcome.was_late {
+        if !outcome.is_judged {
             late.push(outcome.seed);
         } else if !outcome.report.is_empty() {
             broken.push(outcome.seed);
@@ -80,7 +80,7 @@
         if !outcome.report.is_empty() {
             println!("{}", outcome.report);
         }
-        if !outcome.was_late || plays >= PLAYS_MOST {
+        if outcome.is_judged || plays >= PLAYS_MOST {
             return Ok(outcome);
         }
         println!("seed {seed}: this machine was late, so it is played again");
--- a/crates/lemontide-standin/src/soak/judge.rs
+++ b/crates/lemontide-standin/src/soak/judge.rs
@@ -43,6 +43,12 @@
 }
 
 impl Rule {
+    /// Whether a break of it may be seen only because the stand-ins themselves were late. The others are judged from the
+    /// order in which one process saw things.
+    pub fn is_timed(self) -> bool {
+        matches!(self, Rule::Lost | Rule::Drains | Rule::Left | Rule::Releases | Rule::BadClients)
+    }
+
     pub fn text(self) -> &'static str {
         match self {
             Rule::Lost => "Rule on lost requests: a request that was taken got no whole answer in its time, or two, or a wrong one.",
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -57,8 +57,8 @@
     pub summary: String,
     /// What broke, in the form of the operators' reports; empty where nothing did.
     pub report: String,
-    /// The stand-ins were late, so that nothing can be said of the run.
-    pub was_late: bool,
+    /// False where the stand-ins were late, and no rule is broken but such as they may have broken by that.
+    pub is_judged: bool,
 }
 
 /// The parts of one run.
@@ -112,12 +112,13 @@
     let book = record.book();
     std::fs::write(folder.join("record.txt"), report::record(&plan, &book))?;
     let was_late = book.lateness.0 > LATE_MOST;
+    let is_judged = !was_late || breaks.iter().any(|found| !found.rule.is_timed());
     let logs: Vec<PathBuf> = cluster.nodes.iter().map(|node| node.log_file()).collect();
     Ok(Outcome {
         seed,
         summary: report::summary(&plan, &book, &breaks),
         report: report::report(&plan, &record, &book, &breaks, &logs),
-        was_late,
+        is_judged,
     })
 }
 
