What a streamer says on a connection that is closed by half is heard

Cause: what still came on such a connection was read and dropped. A session that stands belongs to no connection, so its release may come there, and the server that writes it knows of no close yet. A connection under which only standing sessions were left was closed at once, with the same loss.

Change: messages are reported until the streamer closes, and the desk hears them: releases of what plays, and tests passed and refusals as proofs for attempts that were given up there. The close is awaited also where something plays at the streamer, but not for a connection on which nothing was heard for too long, or that makes room.

Tests: `a_release_on_a_connection_that_is_being_closed_is_heard` (desk) and `a_release_on_a_connection_that_the_controller_closes_is_passed_on` (real process) fail without the change.

--- a/crates/lemontide-cli/tests/unread_releases.rs
+++ b/crates/lemontide-cli/tests/unread_releases.rs
@@ -1,4 +1,4 @@
-//! Issue 39: a release that was written to a client's socket counted as heard.
+//! Issue 39: releases that were written, and lost as a connection closed.
 
 mod common;
 
@@ -77,3 +77,19 @@
     served.go_on();
     assert!(is_released(&mut other).await);
 }
+
+/// The streamer answers no set-up for a while, and says a release as the controller closes the connection for that.
+#[tokio::test]
+async fn a_release_on_a_connection_that_the_controller_closes_is_passed_on() {
+    let served = Served::start(1, |_| ()).await;
+    let mut viewer = served.viewer().await;
+    viewer.say(SESSION, set_up("free", None)).await.expect("sent");
+    let mut link = End::streamer(&served.streamers[0].listener).await.expect("it dials");
+    while link.hear().await.expect("a set-up").session != SESSION {}
+    link.say(SESSION, answer()).await.expect("sent");
+    viewer.hear().await.expect("it plays");
+    viewer.say(OTHER, set_up("free", None)).await.expect("sent");
+    while link.hear().await.is_ok() {}
+    link.say(SESSION, Body::release(cause::NORMAL)).await.expect("sent");
+    assert!(is_released(&mut viewer).await);
+}
--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -305,8 +305,9 @@
     unproven: VecDeque<Unproven>,
     /// Sessions under which an attempt began, and which are not in hand any more.
     ended: EndedSessions,
-    /// Connections that this end has done with, whose streamer's close is awaited: they hold a descriptor.
-    closing: BTreeSet<Connection>,
+    /// Connections that this end has done with, whose streamer's close is awaited, with that streamer. They hold a
+    /// descriptor, and what is said on them is still heard.
+    closing: BTreeMap<Connection, Rc<str>>,
     /// Number of the last test that was sent to a streamer.
     last_test: u64,
     pub effects: Vec<Effect>,
@@ -339,7 +340,7 @@
             ends: VecDeque::new(),
             unproven: VecDeque::new(),
             ended: EndedSessions::default(),
-            closing: BTreeSet::new(),
+            closing: BTreeMap::new(),
             last_test: 0,
             effects: Vec::new(),
         }
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -80,7 +80,7 @@
         if !self.is_current(on) {
             return;
         }
-        let awaits_close = self.may_await_close(on);
+        let awaits_close = self.may_await_close(on, true);
         self.effects.push(Effect::Hang { on, awaits_close });
         if loss == Loss::Refused {
             self.learn_evidence(now, on, None, Evidence::Refused);
@@ -98,14 +98,20 @@
         }
     }
 
-    /// Whether a streamer's close of this connection is worth awaiting, as an attempt may be out there. It keeps its
-    /// descriptor meanwhile.
-    fn may_await_close(&mut self, on: Connection) -> bool {
+    /// Whether a streamer's close of this connection is worth awaiting, as an attempt may be out there or, where it was
+    /// heard of lately, a release on its way. It keeps its descriptor meanwhile.
+    fn may_await_close(&mut self, on: Connection, is_alive: bool) -> bool {
+        let Some(wire) = self.wires.get(&on.link).filter(|wire| wire.link.is_up()) else { return false };
+        let at = wire.at.clone();
         let is_out =
             |held: &Held| held.out.as_ref().is_some_and(|out| out.on == on && out.permit.has_begun());
-        let is_up = self.wires.get(&on.link).is_some_and(|wire| wire.link.is_up());
-        let awaits = is_up && self.closing.len() < CLOSING_MOST && self.held.values().any(is_out);
-        awaits && self.closing.insert(on)
+        let plays = |held: &Held| is_alive && held.playing.is_some() && held.at == at;
+        let is_of_use = self.held.values().any(|held| is_out(held) || plays(held));
+        let awaits = is_of_use && self.closing.len() < CLOSING_MOST;
+        if awaits {
+            self.closing.insert(on, at);
+        }
+        awaits
     }
 
     fn lose(&mut self, now: Point, link: u64, loss: Loss) {
@@ -183,20 +189,25 @@
         }
     }
 
+    /// The streamer at the other end of a connection that is up, or closed by half.
+    fn streamer_on(&self, on: Connection) -> Option<Rc<str>> {
+        let current = self.wires.get(&on.link).filter(|_| self.is_current(on));
+        current.map(|wire| &wire.at).or_else(|| self.closing.get(&on)).cloned()
+    }
+
     /// A streamer's word.
     pub fn told(&mut self, now: Point, on: Connection, message: Message) {
-        if !self.is_current(on) {
-            return;
-        }
-        let link = on.link;
+        let Some(at) = self.streamer_on(on) else { return };
         if let Some((session, evidence)) = Self::evidence_of(&message) {
             self.learn_evidence(now, on, session, evidence);
             self.carry_out(now);
         }
-        let Some(wire) = self.wires.get_mut(&link) else { return };
-        wire.link.heard(now);
-        wire.suspect = None;
-        let at = wire.at.clone();
+        if self.is_current(on) {
+            if let Some(wire) = self.wires.get_mut(&on.link) {
+                wire.link.heard(now);
+                wire.suspect = None;
+            }
+        }
         // What is said under a number that is not in hand at this streamer is somebody else's, or over.
         let id = self.by_session.get(&message.session).copied();
         let ours = id.and_then(|id| Some((id, self.held.get(&id).filter(|held| held.at == at)?)));
@@ -347,7 +358,8 @@
         let Some(wire) = self.wires.get(&link) else { return };
         if wire.link.is_up() || wire.link.is_dialling() {
             let on = Connection { link, dial: wire.link.dial };
-            let awaits_close = self.may_await_close(on);
+            let is_alive = matches!(reason, CloseReason::Unanswered | CloseReason::QueueFull);
+            let awaits_close = self.may_await_close(on, is_alive);
             tracing::debug!(target: "attempt", ?on, ?reason, awaits_close, "closes");
             self.effects.push(Effect::Hang { on, awaits_close });
             self.lose(now, link, loss);
--- a/crates/lemontide-platform/src/streamers.rs
+++ b/crates/lemontide-platform/src/streamers.rs
@@ -21,8 +21,10 @@
 /// can be read on that connection either, and set-ups wait on it.
 const WHOLE_WITHIN: Duration = Duration::from_millis(300);
 
-/// How long a streamer's own close of a connection is awaited, and how much is read meanwhile, in bytes.
+/// How long a streamer's own close of a connection is awaited, and how many messages are heard meanwhile, or bytes of
+/// what can't be read.
 const CLOSE_WITHIN: Duration = Duration::from_secs(3);
+const HEARD_MOST: usize = 4096;
 const DISCARD_MOST: usize = 256 * 1024;
 
 /// What a connection to a streamer reports.
@@ -163,22 +165,39 @@
         awaits_streamer = reader.is_some() && close.await == Ok(Close::AwaitStreamer);
     }
     let by_streamer = match reader {
-        Some(reader) if awaits_streamer => closes(reader).await,
+        Some(reader) if awaits_streamer => closes(on, reader, &reports).await,
         _ => false,
     };
     let _ = reports.send(Report::Closed { on, by_streamer }).await;
 }
 
 /// Whether the streamer closes in time a connection of which this end has closed its half. What it still says is
-/// dropped.
-async fn closes(mut reader: Reader) -> bool {
-    match timeout(CLOSE_WITHIN, reader.discard(DISCARD_MOST)).await {
+/// reported: a session that stands belongs to no connection, and this may be the only one that carries its release.
+async fn closes(on: Connection, mut reader: Reader, reports: &mpsc::Sender<Report>) -> bool {
+    let closes = async {
+        match hear_last(on, &mut reader, reports).await {
+            Err(e) if is_close(&e) => Err(e),
+            _ => reader.discard(DISCARD_MOST).await,
+        }
+    };
+    match timeout(CLOSE_WITHIN, closes).await {
         Ok(Ok(())) => true,
         Ok(Err(e)) => is_close(&e),
         Err(_) => false,
     }
 }
 
+/// Reports what a streamer says, until that is over, can't be read, or is too much.
+async fn hear_last(on: Connection, reader: &mut Reader, reports: &mpsc::Sender<Report>) -> io::Result<()> {
+    for _ in 0..HEARD_MOST {
+        let message = reader.next(None).await?;
+        if reports.send(Report::Told { on, message }).await.is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
 /// Dials and serves one connection. Its writing half is closed when this returns, and its reading half as well unless
 /// it is returned.
 async fn attend(
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -442,3 +442,23 @@
     world.say(2, session, Body::SetUp(wish("free")));
     assert_eq!(world.shots(session), 2, "nothing more is said of it");
 }
+
+/// A set-up got no answer on a connection, so it is closed by half; the release of another session is on its way there.
+#[test]
+fn a_release_on_a_connection_that_is_being_closed_is_heard() {
+    let mut world = World::new();
+    let others = (1..STREAMERS).map(|at| entry(at, "terminating")).collect();
+    world.learn(&Hosts { full: false, servers: others });
+    let (session, link) = world.playing("free");
+    let on = world.on(link);
+    world.ask("free");
+    world.unread = [link].into();
+    world.late_close = true;
+    world.pass(1.1);
+    assert_eq!(world.closing, [(on, true)], "the streamer's own close is awaited");
+    world.desk.told(world.now, on, Message { session, body: Body::release(cause::NORMAL) });
+    world.perform();
+    assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::NORMAL, .. }]));
+    world.close_all(true);
+    world.desk.told(world.now, on, Message { session: 99, body: Body::release(cause::NORMAL) });
+}
