Soak: small servers that refuse for want of a place, and the budget of cold ones is judged

There the settings give cold servers a budget, and the judge counts, over all nodes, the set-ups that were sent to a server that came back: more than N + 2 x root of N + 2 in a window, over two thirds of them from nodes that were told of its start, break the rule. N is what a server takes at its coldest.

--- a/crates/lemontide-standin/src/soak/judge.rs
+++ b/crates/lemontide-standin/src/soak/judge.rs
@@ -1,7 +1,7 @@
 //! The rules of the platform, judged from what crossed the sockets and from nothing that a node says of itself.
 
 use super::client::{listens_until, BAD_CLIENT_WAITS};
-use super::record::{Answer, Attempt, AttemptEnd, Book, ListState, Request, Signal};
+use super::record::{Answer, Attempt, AttemptEnd, Book, ColdBudget, ListEvent, ListState, Request, Signal};
 use std::collections::BTreeMap;
 
 /// Every limit of the rules is longer by this, in seconds.
@@ -40,13 +40,17 @@
     Crashes,
     Limits,
     Strays,
+    Cold,
 }
 
 impl Rule {
     /// Whether a break of it may be seen only because the stand-ins themselves were late. The others are judged from the
     /// order in which one process saw things.
     pub fn is_timed(self) -> bool {
-        matches!(self, Rule::Lost | Rule::Drains | Rule::Left | Rule::Releases | Rule::BadClients)
+        matches!(
+            self,
+            Rule::Lost | Rule::Drains | Rule::Cold | Rule::Left | Rule::Releases | Rule::BadClients
+        )
     }
 
     pub fn text(self) -> &'static str {
@@ -60,6 +64,7 @@
             Rule::BadClients => "Rule on bad clients: no refusal, error or close in time, or served.",
             Rule::Crashes => "A node crashed, or was not ready in time.",
             Rule::Limits => "A node went over a limit.",
+            Rule::Cold => "Rule on cold servers: one that had just started got more set-ups than it can take.",
             Rule::Strays => "A set-up was sent to a server that no client asked for.",
         }
     }
@@ -107,6 +112,7 @@
         breaks.extend(unreleased(book, request, attempts, end));
     }
     breaks.extend(drains(book));
+    breaks.extend(cold_starts(book));
     breaks.extend(left(book));
     breaks.extend(bad_clients(book));
     breaks.extend(crashes(book));
@@ -261,6 +267,42 @@
     breaks
 }
 
+/// More set-ups within a window than a cold server takes, most of them from nodes that were told of its start.
+fn cold_starts(book: &Book) -> Vec<Break> {
+    let Some(budget) = book.cold_budget else { return Vec::new() };
+    let has_been_gone = |start: &ListEvent| {
+        let gone = |event: &ListEvent| event.state == ListState::Gone && event.at < start.at;
+        book.list.iter().any(|event| event.server == start.server && gone(event))
+    };
+    let is_start = |event: &&ListEvent| event.state == ListState::Ready && has_been_gone(event);
+    book.list.iter().filter(is_start).filter_map(|start| pushed_over(book, start, &budget)).collect()
+}
+
+/// The first window in which a server that was started with this event got too much.
+fn pushed_over(book: &Book, start: &ListEvent, budget: &ColdBudget) -> Option<Break> {
+    let while_cold = start.at..start.at + budget.span;
+    let of_server = book.attempts.iter().filter(|attempt| attempt.server == start.server);
+    let mut sends: Vec<(f64, bool)> = of_server
+        .map(|attempt| (attempt.first_byte, attempt.node))
+        .filter(|(at, _)| while_cold.contains(at))
+        .map(|(at, node)| (at, told(book, node, start.at, start.written[node]) <= at))
+        .collect();
+    sends.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (last, (until, _)) in sends.iter().enumerate() {
+        let first = sends.partition_point(|(at, _)| *at <= until - budget.window);
+        let window = &sends[first..=last];
+        let knew = window.iter().filter(|(_, knew)| *knew).count();
+        if window.len() as f64 > budget.most() && knew * 3 > window.len() * 2 {
+            let what = format!(
+                "{} set-ups by {until:.3} in {} s, {knew} from nodes that knew, to a server that started at {:.3} and takes {:.1}",
+                window.len(), budget.window, start.at, budget.sends
+            );
+            return Some(Break { rule: Rule::Cold, session: None, what });
+        }
+    }
+    None
+}
+
 fn left(book: &Book) -> Vec<Break> {
     let mut late = Vec::new();
     let mut breaks = Vec::new();
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -137,7 +137,8 @@
             Discovery::start(node, record.clone(), addresses.collect())
         };
         let discoveries: Vec<_> = (0..plan.nodes).map(discovery).collect();
-        let settings = node::settings(plan.nodes, plan.servers);
+        let settings = node::settings(&plan);
+        record.book().cold_budget = node::cold_budget(&settings);
         let node = |at: usize| {
             let listen = address(at, 1, port + CLIENTS_PORT);
             let discovery = discoveries[at].clone();
--- a/crates/lemontide-standin/src/soak/node.rs
+++ b/crates/lemontide-standin/src/soak/node.rs
@@ -1,7 +1,8 @@
 //! One controller as a real process: started, signalled, watched and started again.
 
 use super::discovery::Discovery;
-use super::record::{Record, Signal, CLASSES};
+use super::plan::Plan;
+use super::record::{ColdBudget, Record, Signal, CLASSES};
 use crate::platform;
 use lemontide_platform::codec::Body;
 use nix::sys::signal::{kill, Signal as UnixSignal};
@@ -52,8 +53,12 @@
 }
 
 /// Settings of all nodes.
-pub fn settings(nodes: usize, servers: usize) -> Json {
+pub fn settings(plan: &Plan) -> Json {
     let mut settings = platform::settings();
+    if let Some(places) = plan.places {
+        settings["family_info"]["kind_slots"] = json!([places]);
+        settings["rules"] = json!({"cold": 4, "cold_from": 0.4, "fall_multiple": 2.5, "fall": 1});
+    }
     let classes: Vec<Json> = CLASSES
         .iter()
         .map(|class| {
@@ -62,12 +67,20 @@
         })
         .collect();
     settings["classes"] = json!(classes);
-    settings["peers_total"] = json!(nodes);
-    settings["family_info"]["positions"] = json!(servers);
+    settings["peers_total"] = json!(plan.nodes);
+    settings["family_info"]["positions"] = json!(plan.servers);
     settings["policy_limits"]["try_limit"] = json!(5);
     settings
 }
 
+/// What servers take while they are cold, by these settings; the page's rule 4.
+pub fn cold_budget(settings: &Json) -> Option<ColdBudget> {
+    let number = |name: &str| settings.pointer(name).and_then(Json::as_f64);
+    let (span, window) = (number("/rules/cold").filter(|span| *span > 0.0)?, number("/rules/fall")?);
+    let pace = number("/family_info/kind_slots/0")? / span * number("/rules/cold_from")?;
+    Some(ColdBudget { sends: number("/rules/fall_multiple")? * pace * window, window, span })
+}
+
 impl Node {
     #[allow(clippy::too_many_arguments)] // what a node is made of
     pub fn new(
--- a/crates/lemontide-standin/src/soak/plan.rs
+++ b/crates/lemontide-standin/src/soak/plan.rs
@@ -6,6 +6,8 @@
 /// Quiet time at the start and at the end of a run, in seconds.
 const QUIET_START: f64 = 1.5;
 const QUIET_END: f64 = 4.0;
+/// Sessions that a small server holds.
+const PLACES: std::ops::RangeInclusive<usize> = 20..=200;
 
 /// How a server treats what comes to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,6 +96,8 @@
     pub repeaters: bool,
     /// Connections to each node that say nothing.
     pub idle_connections: usize,
+    /// Sessions that a server holds at most, where servers are small; it refuses more.
+    pub places: Option<usize>,
     pub odds: Odds,
     /// By time, in seconds since the start.
     pub events: Vec<(f64, Event)>,
@@ -116,10 +120,12 @@
             bad_clients: chance.random_bool(0.4),
             repeaters: chance.random_bool(0.4),
             idle_connections: if chance.random_bool(0.2) { 400 } else { 0 },
+            places: None,
             odds: odds(&mut chance),
             events: Vec::new(),
         };
         plan.draw_events(&mut chance);
+        plan.places = chance.random_bool(0.4).then(|| chance.random_range(PLACES));
         plan.events.sort_by(|a, b| a.0.total_cmp(&b.0));
         plan
     }
--- a/crates/lemontide-standin/src/soak/record.rs
+++ b/crates/lemontide-standin/src/soak/record.rs
@@ -163,6 +163,21 @@
     pub is_void: bool,
 }
 
+/// Set-ups that a server takes from all nodes in every such window until it is warm; times in seconds since its start.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdBudget {
+    pub sends: f64,
+    pub window: f64,
+    pub span: f64,
+}
+
+impl ColdBudget {
+    /// With the slack for chance: a server falls when it gets more.
+    pub fn most(&self) -> f64 {
+        self.sends + 2.0 * self.sends.sqrt() + 2.0
+    }
+}
+
 #[derive(Default)]
 pub struct Book {
     pub requests: Vec<Request>,
@@ -182,6 +197,7 @@
     pub client_closes: Vec<(f64, ClientConnection)>,
     /// Servers that died, and when.
     pub deaths: Vec<(f64, usize)>,
+    pub cold_budget: Option<ColdBudget>,
 }
 
 impl Book {
--- a/crates/lemontide-standin/src/soak/server.rs
+++ b/crates/lemontide-standin/src/soak/server.rs
@@ -208,14 +208,23 @@
                 let now = self.record.now();
                 self.record.book().attempts[attempt].arrived = Some(now);
                 let new = Session { id: session, attempt, node, connection, stands: false };
-                self.state().sessions.push(new);
-                tokio::spawn(treat(self.clone(), node, connection, session, attempt, set_up));
+                let has_room = self.take_up(new);
+                let treatment =
+                    if has_room { self.treatment(session, attempt) } else { Treatment::Release(cause::FULL) };
+                tokio::spawn(treat(self.clone(), node, connection, session, attempt, set_up, treatment));
             }
             Body::Release { .. } => self.released_by_node(node, connection, session),
             _ => {}
         }
     }
 
+    /// Takes up a session; whether there is a place for it.
+    fn take_up(&self, session: Session) -> bool {
+        let mut state = self.state();
+        state.sessions.push(session);
+        self.plan.places.is_none_or(|places| state.sessions.len() <= places)
+    }
+
     fn released_by_node(&self, node: usize, connection: u64, id: u64) {
         let mut state = self.state();
         let setting_up = |s: &Session| s.id == id && !s.stands && s.connection == connection;
@@ -296,8 +305,15 @@
 }
 
 /// Does with a set-up what is drawn for it.
-async fn treat(server: Arc<Server>, node: usize, connection: u64, id: u64, attempt: usize, set_up: SetUp) {
-    let treatment = server.treatment(id, attempt);
+async fn treat(
+    server: Arc<Server>,
+    node: usize,
+    connection: u64,
+    id: u64,
+    attempt: usize,
+    set_up: SetUp,
+    treatment: Treatment,
+) {
     let draw = |what: u64| draw(server.plan.seed, id ^ 0x5eed, attempt as u64 * 8 + what);
     let mut work = WORK.0 + (WORK.1 - WORK.0) * draw(0);
     if treatment == Treatment::AnswerLate {
--- a/crates/lemontide-standin/tests/soak_judge.rs
+++ b/crates/lemontide-standin/tests/soak_judge.rs
@@ -2,8 +2,8 @@
 
 use lemontide_standin::soak::judge::{judge, Rule};
 use lemontide_standin::soak::record::{
-    Answer, Attempt, AttemptEnd, BadClient, Book, ClientConnection, ListEvent, ListState, Outage, Request,
-    Signal, CLASSES,
+    Answer, Attempt, AttemptEnd, BadClient, Book, ClientConnection, ColdBudget, ListEvent, ListState, Outage,
+    Request, Signal, CLASSES,
 };
 
 const END: f64 = 60.0;
@@ -185,3 +185,35 @@
     assert_eq!(after(true, bad(Some(6.0), true)), [Rule::BadClients]);
     assert_eq!(after(true, bad(Some(6.0), false)), []);
 }
+
+/// A server comes back at 20 and takes 16 set-ups a second: 26 are let pass, of 27 most must be from nodes that knew.
+#[test]
+fn a_cold_server_that_gets_too_much_is_found() {
+    let pushed = |sends: usize, told_at: f64, last: f64| {
+        move |b: &mut Book| {
+            b.cold_budget = Some(ColdBudget { sends: 16.0, window: 1.0, span: 10.0 });
+            b.list = vec![list(15.0, ListState::Gone, None), list(20.0, ListState::Ready, Some(told_at))];
+            for number in 0..sends {
+                let at = 20.5 + (last - 20.5) * number as f64 / sends as f64;
+                b.attempts.push(attempt(0, at, at + 0.001, AttemptEnd::Answered { ran: false }));
+            }
+        }
+    };
+    assert_eq!(after(true, pushed(26, 20.0, 21.4)), []);
+    assert_eq!(after(true, pushed(27, 20.0, 21.4)), [Rule::Cold]);
+    assert_eq!(after(true, pushed(27, 20.0, 22.0)), [], "over more than a window");
+    let untold = |b: &mut Book| {
+        pushed(27, 21.0, 21.4)(b);
+        b.outages.push(Outage { node: 0, from: 19.0, until: 19.9, open_ones_only: false });
+    };
+    assert_eq!(after(true, untold), [], "most were sent before the node knew");
+    let warm = |b: &mut Book| {
+        pushed(27, 20.0, 21.4)(b);
+        b.cold_budget = Some(ColdBudget { sends: 16.0, window: 1.0, span: 0.4 });
+    };
+    assert_eq!(after(true, warm), []);
+}
+
+fn list(at: f64, state: ListState, written: Option<f64>) -> ListEvent {
+    ListEvent { at, position: 1, server: 0, state, written: vec![written] }
+}
