What may stand of a request that is over is ended at its streamer

What could be seen: a session that nobody watches stands until its streamer ends it.

Cause: the end of an attempt whose request gets no other one (it may not be repeated, its client left, its time is over) was written once, on the connection of the attempt, or not at all where that had gone. If the answer was lost with the connection, the session stood on.

Test: `what_may_stand_of_a_failed_request_is_ended_on_another_connection` fails without the change.

--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/desk.rs
@@ -228,6 +228,8 @@
     session: u64,
     until: Point,
     sent: Option<SentEnd>,
+    /// A connection is dialled for it where none is up: it is known that something stands.
+    may_dial: bool,
 }
 
 /// A release that is on its way to a streamer.
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/desk/attempts.rs
@@ -39,8 +39,9 @@
         self.is_current(on).then(|| self.send_test(now, on.link))
     }
 
-    /// Remembers an attempt that may still be out though its request is over.
-    fn remember_unproven(&mut self, now: Point, session: u64, attempt: GivenUp) {
+    /// Remembers an attempt that may still be out though its request is over, and to end it.
+    fn remember_unproven(&mut self, now: Point, at: Rc<str>, session: u64, attempt: GivenUp) {
+        self.end_unproven(now, at, session, &attempt);
         if self.unproven.len() >= OVER_MOST {
             self.unproven.pop_front();
         }
@@ -56,7 +57,8 @@
     }
 
     /// Ends what is out of a request whose viewer is gone; how it is told to the module.
-    pub(super) fn abandon(&mut self, now: Point, id: u32, session: u64, mut out: Out) -> Ending {
+    pub(super) fn abandon(&mut self, now: Point, id: u32, held: &Held, mut out: Out) -> Ending {
+        let session = held.session;
         if self.withdraw(id, &out) {
             return Ending::NotSent;
         }
@@ -65,7 +67,7 @@
         if is_new {
             attempt.test = self.write_end(now, session, out.on);
         }
-        self.remember_unproven(now, session, attempt);
+        self.remember_unproven(now, held.at.clone(), session, attempt);
         Ending::Cancelled
     }
 
@@ -177,8 +179,8 @@
     fn out_of_time(&mut self, now: Point, id: u32) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(given_up) = held.out.take().and_then(|out| out.given_up) else { return };
-        let session = held.session;
-        self.remember_unproven(now, session, given_up);
+        let (session, at) = (held.session, held.at.clone());
+        self.remember_unproven(now, at, session, given_up);
         self.tell_ended(now, id, given_up.ending, Load::default());
     }
 
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/desk/connections.rs
@@ -14,8 +14,19 @@
     /// Tells a streamer that what stands there is over; again, where the connection goes before the streamer is known
     /// to have read it. Guards against streams that nobody watches.
     pub(super) fn end_at(&mut self, now: Point, at: &Rc<str>, session: u64) {
-        let mut end = End { at: at.clone(), session, until: now + OWED_FOR, sent: None };
+        let mut end = End { at: at.clone(), session, until: now + OWED_FOR, sent: None, may_dial: true };
         self.send_end(now, &mut end);
+        self.remember_end(end);
+    }
+
+    /// Remembers to end an attempt that was given up and may stand, though its request is over: its end may not be
+    /// written yet, and is written again where its connection goes before the streamer is known to have read it.
+    pub(super) fn end_unproven(&mut self, now: Point, at: Rc<str>, session: u64, attempt: &GivenUp) {
+        let sent = attempt.test.map(|test| SentEnd { on: attempt.on, after_test: test.saturating_sub(1) });
+        self.remember_end(End { at, session, until: now + OWED_FOR, sent, may_dial: false });
+    }
+
+    fn remember_end(&mut self, end: End) {
         if self.ends.len() >= OVER_MOST {
             self.ends.pop_front();
         }
@@ -24,7 +35,11 @@
 
     fn send_end(&mut self, now: Point, end: &mut End) {
         end.sent = None;
-        let Some(link) = self.best_link(&end.at).or_else(|| self.redial(now, &end.at)) else { return };
+        let link = match self.best_link(&end.at) {
+            None if end.may_dial => self.redial(now, &end.at),
+            link => link,
+        };
+        let Some(link) = link else { return };
         let Some(dial) = self.wires.get(&link).map(|wire| wire.link.dial) else { return };
         let message = Message { session: end.session, body: Body::release(cause::NORMAL) };
         self.order(now, link, message);
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/desk/viewers.rs
@@ -335,7 +335,7 @@
         }
         held.handle.left(&mut self.module);
         if let Some(out) = held.out.take() {
-            let ending = self.abandon(now, id, held.session, out);
+            let ending = self.abandon(now, id, &held, out);
             held.handle.ended(&mut self.module, now, ending, true, Load::default());
         }
         self.carry_out(now);
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -462,3 +462,27 @@
     world.close_all(true);
     world.desk.told(world.now, on, Message { session: 99, body: Body::release(cause::NORMAL) });
 }
+
+/// The answer of an attempt may be lost with its connection, and its request gets no other: what may stand is ended on
+/// the next connection that is up.
+#[test]
+fn what_may_stand_of_a_failed_request_is_ended_on_another_connection() {
+    for leaves in [true, false] {
+        let mut world = World::new();
+        let others = (1..STREAMERS).map(|at| entry(at, "terminating")).collect();
+        world.learn(&Hosts { full: false, servers: others });
+        let (_, link) = world.playing("free");
+        let session = world.ask("paid");
+        if leaves {
+            world.unread = [link].into();
+            world.say(VIEWERS, session, Body::release(cause::NORMAL));
+        }
+        let before = world.released(session);
+        world.loses(link, Loss::Broke);
+        world.unread.clear();
+        world.pass(0.5);
+        assert_eq!((world.shots(session), world.released(session)), (1, before + 1), "leaves: {leaves}");
+        world.pass(2.0);
+        assert_eq!(world.released(session), before + 1, "leaves: {leaves}, and once is enough");
+    }
+}
