--- a/crates/lemontide-platform/src/desk.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -1,4 +1,4 @@
-//! The desk: what happens on the platform's sockets becomes calls on the decision module, and what the module
+//! The dispatcher: what happens on the platform's sockets becomes calls on the decision module, and what the module
 //! decides becomes messages. It owns the subscriptions in hand, their shots, which link a shot was written to, and
 //! the duty of one answer. No sockets, no files, no clock: time comes from outside, what has to be done is left in
 //! `effects`. It tells the module the truth of every shot by the table in `docs/design/controller.md`.
@@ -38,7 +38,7 @@
 /// are not proven over, at most of each.
 const OVER_MOST: usize = 1024;
 
-/// What the platform states and the desk itself needs; the rest is the module's, in the sheet.
+/// What the platform states and the dispatcher itself needs; the rest is the module's, in the sheet.
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
     /// Name and cut-off of each lane.
@@ -120,7 +120,7 @@
 }
 
 /// An attempt that is out.
-struct Out {
+struct Attempt {
     number: u32,
     /// The connection that carries it; none has these numbers before it is on one.
     on: Connection,
@@ -174,7 +174,7 @@
     decided: Option<Point>,
     /// When its last attempt began.
     begun: Option<Point>,
-    out: Option<Out>,
+    attempt: Option<Attempt>,
     /// Streamers that may have set it up in an earlier attempt, and may still release that.
     attempted_at: Vec<Rc<str>>,
     /// Since when it plays.
@@ -191,7 +191,7 @@
 
     /// Whether a streamer may know of this session.
     fn has_begun(&self) -> bool {
-        let is_out = self.out.as_ref().is_some_and(|out| out.permit.has_begun());
+        let is_out = self.attempt.as_ref().is_some_and(|attempt| attempt.permit.has_begun());
         is_out || self.begun.is_some() || self.playing.is_some()
     }
 }
@@ -278,7 +278,7 @@
     }
 }
 
-pub struct Desk {
+pub struct Dispatcher {
     module: Controller,
     terms: Terms,
     known: BTreeMap<Rc<str>, Known>,
@@ -315,12 +315,12 @@
     pub effects: Vec<Effect>,
 }
 
-impl Desk {
-    pub fn start(now: Point, seed: u64, sheet: &Sheet, terms: Terms) -> Desk {
+impl Dispatcher {
+    pub fn start(now: Point, seed: u64, sheet: &Sheet, terms: Terms) -> Dispatcher {
         // No message here brings what a look would. Guards against wishes that wait for looks that never come back.
         let mut sheet = sheet.clone();
         sheet.insert("looks.allowed".to_owned(), Value::Flag(false));
-        Desk {
+        Dispatcher {
             module: Controller::start(now, seed, &sheet),
             terms,
             known: BTreeMap::new(),
--- a/crates/lemontide-platform/src/desk/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -1,4 +1,4 @@
-//! The desk's part of attempts: each is sent, ends once, and the module is told the truth of it. The module places a
+//! The dispatcher's part of attempts: each is sent, ends once, and the module is told the truth of it. The module places a
 //! request anew only from `attempt_over`, which takes the proof that the last attempt is over, and from `out_of_time`,
 //! after which there is no other.
 
@@ -7,26 +7,26 @@
 /// A connection on which a set-up got no answer must pass a test within this time, or it is of no more use.
 const TEST_WAIT: Span = Span::of_millis(400);
 
-impl Desk {
+impl Dispatcher {
     /// Takes back an attempt that has not begun, wherever it waits; true where it now never will.
-    fn withdraw(&mut self, id: u32, out: &Out) -> bool {
-        if !out.permit.withdraw() {
+    fn withdraw(&mut self, id: u32, attempt: &Attempt) -> bool {
+        if !attempt.permit.withdraw() {
             return false;
         }
-        if let Some(wire) = self.wires.get_mut(&out.on.link) {
+        if let Some(wire) = self.wires.get_mut(&attempt.on.link) {
             wire.open = wire.open.saturating_sub(1);
-            wire.link.withdraw((id, out.number));
+            wire.link.withdraw((id, attempt.number));
         }
         true
     }
 
     /// Gives up an attempt that has begun; what is known of its end. Nothing is written yet.
-    fn give_up(&mut self, out: &mut Out, ending: Ending) -> GivenUp {
-        let (on, is_first) = (out.on, out.is_first);
-        if let Some(wire) = self.wires.get_mut(&on.link).filter(|_| out.given_up.is_none()) {
+    fn give_up(&mut self, attempt: &mut Attempt, ending: Ending) -> GivenUp {
+        let (on, is_first) = (attempt.on, attempt.is_first);
+        if let Some(wire) = self.wires.get_mut(&on.link).filter(|_| attempt.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
         }
-        *out.given_up.get_or_insert(GivenUp { on, is_closed: false, is_first, ending, test: None })
+        *attempt.given_up.get_or_insert(GivenUp { on, is_closed: false, is_first, ending, test: None })
     }
 
     /// Tells a streamer that an attempt is given up, and sends a test behind it, whose number is returned: once it is
@@ -57,15 +57,15 @@
     }
 
     /// Ends what is out of a request whose viewer is gone; how it is told to the module.
-    pub(super) fn abandon(&mut self, now: Point, id: u32, held: &Held, mut out: Out) -> Ending {
+    pub(super) fn abandon(&mut self, now: Point, id: u32, held: &Held, mut attempt: Attempt) -> Ending {
         let session = held.session;
-        if self.withdraw(id, &out) {
+        if self.withdraw(id, &attempt) {
             return Ending::NotSent;
         }
-        let is_new = out.given_up.is_none();
-        let mut attempt = self.give_up(&mut out, Ending::Cancelled);
+        let is_new = attempt.given_up.is_none();
+        let mut attempt = self.give_up(&mut attempt, Ending::Cancelled);
         if is_new {
-            attempt.test = self.write_end(now, session, out.on);
+            attempt.test = self.write_end(now, session, attempt.on);
         }
         self.remember_unproven(now, held.at.clone(), session, attempt);
         Ending::Cancelled
@@ -87,11 +87,11 @@
 
     pub(super) fn plays(&mut self, now: Point, id: u32, description: Bytes, load: Load) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        held.begun = held.out.as_ref().and_then(|out| out.permit.begun_at());
+        held.begun = held.attempt.as_ref().and_then(|attempt| attempt.permit.begun_at());
         let steps = Self::steps(held, Outcome::Plays, now);
-        if let Some(out) = held.out.take() {
-            held.carrier = Some(out.on);
-            if let Some(wire) = self.wires.get_mut(&out.on.link) {
+        if let Some(attempt) = held.attempt.take() {
+            held.carrier = Some(attempt.on);
+            if let Some(wire) = self.wires.get_mut(&attempt.on.link) {
                 wire.open = wire.open.saturating_sub(1);
             }
         }
@@ -120,20 +120,20 @@
     pub(super) fn overdue(&mut self, now: Point, id: u32, number: u32) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let (session, until) = (held.session, held.until);
-        let Some(out) = held.out.as_ref().filter(|out| out.number == number) else { return };
-        let (on, has_begun) = (out.on, out.permit.has_begun());
-        if out.given_up.is_some() {
+        let Some(attempt) = held.attempt.as_ref().filter(|attempt| attempt.number == number) else { return };
+        let (on, has_begun) = (attempt.on, attempt.permit.has_begun());
+        if attempt.given_up.is_some() {
             if now >= until {
                 self.out_of_time(now, id);
             }
-        } else if !has_begun && now >= out.not_after {
+        } else if !has_begun && now >= attempt.not_after {
             self.never_began(now, vec![(id, number)], Ending::NoConnection);
-        } else if has_begun && now >= out.deadline {
+        } else if has_begun && now >= attempt.deadline {
             self.give_up_in_hand(id, Ending::TimedOut);
             let test = self.write_end(now, session, on);
             self.suspect(now, on);
-            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
-            if let Some(given_up) = out.and_then(|out| out.given_up.as_mut()) {
+            let attempt = self.held.get_mut(&id).and_then(|held| held.attempt.as_mut());
+            if let Some(given_up) = attempt.and_then(|attempt| attempt.given_up.as_mut()) {
                 given_up.test = test;
             }
             self.in_doubt(now, id);
@@ -152,10 +152,10 @@
 
     /// Gives up the attempt of a request in hand; nothing is written yet.
     pub(super) fn give_up_in_hand(&mut self, id: u32, ending: Ending) {
-        let Some(mut out) = self.held.get_mut(&id).and_then(|held| held.out.take()) else { return };
-        self.give_up(&mut out, ending);
+        let Some(mut attempt) = self.held.get_mut(&id).and_then(|held| held.attempt.take()) else { return };
+        self.give_up(&mut attempt, ending);
         if let Some(held) = self.held.get_mut(&id) {
-            held.out = Some(out);
+            held.attempt = Some(attempt);
         }
     }
 
@@ -164,8 +164,8 @@
     pub(super) fn in_doubt(&mut self, now: Point, id: u32) {
         let Some(held) = self.held.get(&id) else { return };
         let (handle, session, until) = (held.handle, held.session, held.until);
-        let Some(out) = held.out.as_ref() else { return };
-        let (number, given_up) = (out.number, out.given_up);
+        let Some(attempt) = held.attempt.as_ref() else { return };
+        let (number, given_up) = (attempt.number, attempt.given_up);
         tracing::debug!(
             target: "attempt", session = format!("{session:016x}"), number, ?given_up, "given up, not proven over"
         );
@@ -178,7 +178,7 @@
     /// A request gets no other attempt, though its last is not proven over: the module gives its final answer.
     fn out_of_time(&mut self, now: Point, id: u32) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(given_up) = held.out.take().and_then(|out| out.given_up) else { return };
+        let Some(given_up) = held.attempt.take().and_then(|attempt| attempt.given_up) else { return };
         let (session, at) = (held.session, held.at.clone());
         self.remember_unproven(now, at, session, given_up);
         self.tell_ended(now, id, given_up.ending, Load::default());
@@ -197,7 +197,7 @@
         self.unproven
             .retain(|unproven| !concerns(unproven.session) || unproven.attempt.proof(on, evidence).is_none());
         let proven = |held: &Held| {
-            let given_up = held.out.as_ref()?.given_up.filter(|_| concerns(held.session))?;
+            let given_up = held.attempt.as_ref()?.given_up.filter(|_| concerns(held.session))?;
             Some((given_up.ending, given_up.proof(on, evidence)?))
         };
         let proven: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, proven(held)?))).collect();
@@ -211,7 +211,7 @@
     /// to it once more, on another.
     pub(super) fn closed_by_streamer(&mut self, now: Point, on: Connection) {
         for held in self.held.values_mut() {
-            let given_up = held.out.as_mut().and_then(|out| out.given_up.as_mut());
+            let given_up = held.attempt.as_mut().and_then(|attempt| attempt.given_up.as_mut());
             if let Some(given_up) = given_up.filter(|given_up| given_up.on == on) {
                 given_up.is_closed = true;
             }
@@ -223,7 +223,7 @@
     /// way on one that is up.
     pub(super) fn end_elsewhere(&mut self, now: Point) {
         let waits = |held: &Held| {
-            let given_up = held.out.as_ref()?.given_up?;
+            let given_up = held.attempt.as_ref()?.given_up?;
             (given_up.is_closed && !self.is_current(given_up.on)).then_some((held.session, held.at.clone()))
         };
         let waiting: Vec<_> = self.held.iter().filter_map(|(id, held)| Some((*id, waits(held)?))).collect();
@@ -231,8 +231,8 @@
             let stage = self.known.get(&at).map(|known| known.entry.stage());
             if stage.is_none_or(|stage| stage == Stage::Gone) {
                 // It closed its connections, and the list says that it is no more.
-                let out = self.held.get(&id).and_then(|held| held.out.as_ref());
-                let Some(given_up) = out.and_then(|out| out.given_up) else { continue };
+                let attempt = self.held.get(&id).and_then(|held| held.attempt.as_ref());
+                let Some(given_up) = attempt.and_then(|attempt| attempt.given_up) else { continue };
                 self.attempt_over(now, id, given_up.ending, Load::default(), Proof::ProcessGone);
                 continue;
             }
@@ -240,8 +240,8 @@
             let Some(dial) = self.wires.get(&link).map(|wire| wire.link.dial) else { continue };
             let on = Connection { link, dial };
             let test = self.write_end(now, session, on);
-            let out = self.held.get_mut(&id).and_then(|held| held.out.as_mut());
-            if let Some(given_up) = out.and_then(|out| out.given_up.as_mut()) {
+            let attempt = self.held.get_mut(&id).and_then(|held| held.attempt.as_mut());
+            if let Some(given_up) = attempt.and_then(|attempt| attempt.given_up.as_mut()) {
                 (given_up.on, given_up.test) = (on, test);
             }
         }
@@ -252,8 +252,11 @@
         let wire = self.wires.get_mut(&link);
         let _ = wire.map(|wire| wire.link.withdraw_set_ups());
         let waits = |held: &Held| {
-            let out = held.out.as_ref().filter(|out| out.on.link == link && out.given_up.is_none())?;
-            out.permit.withdraw().then_some(out.number)
+            let attempt = held
+                .attempt
+                .as_ref()
+                .filter(|attempt| attempt.on.link == link && attempt.given_up.is_none())?;
+            attempt.permit.withdraw().then_some(attempt.number)
         };
         self.held.iter().filter_map(|(id, held)| Some((*id, waits(held)?))).collect()
     }
@@ -261,9 +264,13 @@
     /// These attempts never began, and never will: they are ended as such, where they are still waited for.
     pub(super) fn never_began(&mut self, now: Point, attempts: Vec<(u32, u32)>, ending: Ending) {
         for (id, number) in attempts {
-            let out = self.held.get(&id).and_then(|held| held.out.as_ref());
-            let Some(out) = out.filter(|out| out.number == number && out.permit.withdraw()) else { continue };
-            if let Some(wire) = self.wires.get_mut(&out.on.link) {
+            let attempt = self.held.get(&id).and_then(|held| held.attempt.as_ref());
+            let Some(attempt) =
+                attempt.filter(|attempt| attempt.number == number && attempt.permit.withdraw())
+            else {
+                continue;
+            };
+            if let Some(wire) = self.wires.get_mut(&attempt.on.link) {
                 wire.link.withdraw((id, number));
             }
             self.attempt_over(now, id, ending, Load::default(), Proof::NeverBegan);
@@ -273,17 +280,17 @@
     /// An attempt is proven over: the module is told, and may place the request anew.
     pub(super) fn attempt_over(&mut self, now: Point, id: u32, ending: Ending, load: Load, proof: Proof) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(out) = held.out.take() else { return };
+        let Some(attempt) = held.attempt.take() else { return };
         if proof.allows_a_later_release() && held.is_first_at(&held.at) {
             held.attempted_at.push(held.at.clone());
         }
-        held.begun = out.permit.begun_at().or(held.begun);
-        if let Some(wire) = self.wires.get_mut(&out.on.link).filter(|_| out.given_up.is_none()) {
+        held.begun = attempt.permit.begun_at().or(held.begun);
+        if let Some(wire) = self.wires.get_mut(&attempt.on.link).filter(|_| attempt.given_up.is_none()) {
             wire.open = wire.open.saturating_sub(1);
         }
         tracing::debug!(
             target: "attempt",
-            session = format!("{:016x}", held.session), number = out.number, on = ?out.on, ?ending, ?proof, "over"
+            session = format!("{:016x}", held.session), number = attempt.number, on = ?attempt.on, ?ending, ?proof, "over"
         );
         self.tell_ended(now, id, ending, load);
     }
@@ -405,7 +412,7 @@
         // No link has this number: it is not on one yet.
         let on = Connection { link: 0, dial: 0 };
         let is_first = held.is_first_at(&at);
-        held.out = Some(Out { number, on, deadline, not_after, permit, is_first, given_up: None });
+        held.attempt = Some(Attempt { number, on, deadline, not_after, permit, is_first, given_up: None });
         if shot.within <= Span::ZERO || !ready {
             return self.never_began(now, vec![(id, number)], Ending::NotSent);
         }
@@ -421,8 +428,8 @@
         }
         wire.open += 1;
         let (busy, dial) = (wire.open > 1, wire.link.dial);
-        if let Some(out) = self.held.get_mut(&id).and_then(|held| held.out.as_mut()) {
-            out.on = Connection { link, dial };
+        if let Some(attempt) = self.held.get_mut(&id).and_then(|held| held.attempt.as_mut()) {
+            attempt.on = Connection { link, dial };
         }
         self.due.push(Reverse((not_after, id, number)));
         self.due.push(Reverse((deadline, id, number)));
--- a/crates/lemontide-platform/src/desk/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -1,4 +1,4 @@
-//! The desk's part of connections to streamers: when one is dialled, what is written on it, what is heard on it.
+//! The dispatcher's part of connections to streamers: when one is dialled, what is written on it, what is heard on it.
 
 use super::*;
 
@@ -10,7 +10,7 @@
 /// Connections whose streamer's close is awaited at a time, at most.
 const CLOSING_MOST: usize = 32;
 
-impl Desk {
+impl Dispatcher {
     /// Tells a streamer that what stands there is over; again, where the connection goes before the streamer is known
     /// to have read it. Guards against streams that nobody watches.
     pub(super) fn end_at(&mut self, now: Point, at: &Rc<str>, session: u64) {
@@ -118,8 +118,9 @@
     fn may_await_close(&mut self, on: Connection, is_alive: bool) -> bool {
         let Some(wire) = self.wires.get(&on.link).filter(|wire| wire.link.is_up()) else { return false };
         let at = wire.at.clone();
-        let is_out =
-            |held: &Held| held.out.as_ref().is_some_and(|out| out.on == on && out.permit.has_begun());
+        let is_out = |held: &Held| {
+            held.attempt.as_ref().is_some_and(|attempt| attempt.on == on && attempt.permit.has_begun())
+        };
         let plays = |held: &Held| is_alive && held.playing.is_some() && held.at == at;
         let is_of_use = self.held.values().any(|held| is_out(held) || plays(held));
         let awaits = is_of_use && self.closing.len() < CLOSING_MOST;
@@ -139,8 +140,10 @@
         wire.link.withdraw_all();
         tracing::info!(target: "streamers", streamer = &*at, ?loss, waiting = waiting.len(), "link lost");
         let begun = |held: &Held| {
-            let out = held.out.as_ref();
-            out.is_some_and(|out| out.on.link == link && out.given_up.is_none() && out.permit.has_begun())
+            let attempt = held.attempt.as_ref();
+            attempt.is_some_and(|attempt| {
+                attempt.on.link == link && attempt.given_up.is_none() && attempt.permit.has_begun()
+            })
         };
         let begun: Vec<u32> = self.held.iter().filter(|(_, held)| begun(held)).map(|(id, _)| *id).collect();
         for id in &begun {
@@ -233,8 +236,10 @@
             return;
         };
         let (handle, plays) = (held.handle, held.playing.is_some());
-        let waits = held.out.as_ref();
-        let waits = waits.is_some_and(|out| out.on == on && out.given_up.is_none() && out.permit.has_begun());
+        let waits = held.attempt.as_ref();
+        let waits = waits.is_some_and(|attempt| {
+            attempt.on == on && attempt.given_up.is_none() && attempt.permit.has_begun()
+        });
         let is_first = held.is_first_at(&at);
         if let Body::Release { cause, .. } = &message.body {
             tracing::debug!(target: "streamers", session = format!("{:016x}", message.session), cause, plays);
@@ -281,7 +286,7 @@
 
     pub(super) fn look_after_links(&mut self, now: Point, gap: Span) {
         // What plays or is out at a streamer needs a link there; a shot and a release dial for themselves.
-        let is_out = |held: &Held| held.out.as_ref().is_some_and(|out| out.given_up.is_none());
+        let is_out = |held: &Held| held.attempt.as_ref().is_some_and(|attempt| attempt.given_up.is_none());
         let needs = |held: &&Held| held.playing.is_some() || is_out(held);
         let needed: BTreeSet<Rc<str>> =
             self.held.values().filter(needs).map(|held| held.at.clone()).collect();
--- a/crates/lemontide-platform/src/desk/list.rs
+++ b/crates/lemontide-platform/src/dispatcher/list.rs
@@ -1,8 +1,8 @@
-//! The desk's part of the list of streamers: what is told of them, and what follows for what waits or plays there.
+//! The dispatcher's part of the list of streamers: what is told of them, and what follows for what waits or plays there.
 
 use super::*;
 
-impl Desk {
+impl Dispatcher {
     /// Takes news of the list. What waits for a streamer that drains or is gone is taken back at once.
     pub fn learn(&mut self, now: Point, hosts: &Hosts) {
         let mut lines: Vec<Line> = hosts.servers.iter().map(Entry::line).collect();
@@ -75,7 +75,11 @@
             // Its address may be another's by now: nobody is asked there, and nobody will tell.
             self.cut(now, at, |_| true);
         }
-        if self.held.values().any(|held| &*held.at == at && (held.playing.is_some() || held.out.is_some())) {
+        if self
+            .held
+            .values()
+            .any(|held| &*held.at == at && (held.playing.is_some() || held.attempt.is_some()))
+        {
             return;
         }
         for link in links {
--- a/crates/lemontide-platform/src/desk/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -1,4 +1,4 @@
-//! The desk's part of viewers: their connections, their set-ups, and the one answer that each is owed.
+//! The dispatcher's part of viewers: their connections, their set-ups, and the one answer that each is owed.
 
 use super::*;
 
@@ -12,7 +12,7 @@
 const LAST_CALL: Span = Span::of_millis(600);
 const OWED_MOST: usize = 4096;
 
-impl Desk {
+impl Dispatcher {
     pub fn viewer_up(&mut self, now: Point, conn: u64) {
         let new = Conn {
             open: 0,
@@ -268,7 +268,7 @@
             read: read.0,
             decided: None,
             begun: None,
-            out: None,
+            attempt: None,
             attempted_at: Vec::new(),
             playing,
             carrier: None,
@@ -334,8 +334,8 @@
             steps.log(None);
         }
         held.handle.left(&mut self.module);
-        if let Some(out) = held.out.take() {
-            let ending = self.abandon(now, id, &held, out);
+        if let Some(attempt) = held.attempt.take() {
+            let ending = self.abandon(now, id, &held, attempt);
             held.handle.ended(&mut self.module, now, ending, true, Load::default());
         }
         self.carry_out(now);
--- a/crates/lemontide-platform/src/lib.rs
+++ b/crates/lemontide-platform/src/lib.rs
@@ -1,11 +1,11 @@
 //! The operators' platform: another way into the controller and out of it, around the same decision module.
-//! `desk` is the core: it does no I/O. Around it `codec` reads and writes the messages, `viewers` and `streamers`
+//! `dispatcher` is the core: it does no I/O. Around it `codec` reads and writes the messages, `viewers` and `streamers`
 //! carry them over sockets, `outbox` keeps what a client may not have read, `permit` says whether an attempt may still begin, `journal` follows the list of streamers,
 //! `config` reads what the operators state, `steps` tells when a request came how far, and `serve` ties them together.
 
 pub mod codec;
 pub mod config;
-pub mod desk;
+pub mod dispatcher;
 pub mod journal;
 mod outbox;
 pub mod permit;
--- a/crates/lemontide-platform/src/permit.rs
+++ b/crates/lemontide-platform/src/permit.rs
@@ -1,4 +1,4 @@
-//! Whether something may still be begun on a socket. The desk, which may take it back, and the task that writes it
+//! Whether something may still be begun on a socket. The dispatcher, which may take it back, and the task that writes it
 //! share one permit, so that there is one place in which it is decided: whoever comes first.
 
 use lemontide::clock::Point;
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -1,8 +1,8 @@
-//! Ties the controller together on the platform: sockets, signals and the list come to one loop that owns the desk,
-//! on one thread; what the desk wants done goes out to the tasks that own the sockets.
+//! Ties the controller together on the platform: sockets, signals and the list come to one loop that owns the dispatcher,
+//! on one thread; what the dispatcher wants done goes out to the tasks that own the sockets.
 
 use crate::config::{Config, Environment, Hosts};
-use crate::desk::{Desk, Effect, Order, Terms};
+use crate::dispatcher::{Dispatcher, Effect, Order, Terms};
 use crate::streamers::Close;
 use crate::viewers::{Said, Word};
 use crate::{journal, streamers, viewers};
@@ -55,7 +55,7 @@
 const READ_AGAIN: Duration = Duration::from_millis(100);
 const READ_AGAIN_MOST: u32 = 10;
 
-/// What the desk itself needs to know of the settings; an error names the one that can't be used.
+/// What the dispatcher itself needs to know of the settings; an error names the one that can't be used.
 pub fn terms(sheet: &Sheet, settings: &serde_json::Value, sockets: usize) -> Result<Terms, String> {
     let named = |list: &'static str| {
         (0..).map_while(move |i| Some((i, text(sheet, &format!("{list}.{i}.name"))?.to_owned())))
@@ -100,7 +100,7 @@
     close: oneshot::Sender<Close>,
 }
 
-/// The tasks that own the sockets, by what the desk calls them.
+/// The tasks that own the sockets, by what the dispatcher calls them.
 struct Sockets {
     clock: Clock,
     dial_timeout: Duration,
@@ -113,11 +113,11 @@
 }
 
 impl Sockets {
-    /// Does what the desk left to be done; whether anything was handed to a viewers' connection.
-    fn carry_out(&mut self, now: Point, desk: &mut Desk) -> bool {
+    /// Does what the dispatcher left to be done; whether anything was handed to a viewers' connection.
+    fn carry_out(&mut self, now: Point, dispatcher: &mut Dispatcher) -> bool {
         let mut handed = false;
-        while !desk.effects.is_empty() {
-            for effect in std::mem::take(&mut desk.effects) {
+        while !dispatcher.effects.is_empty() {
+            for effect in std::mem::take(&mut dispatcher.effects) {
                 match effect {
                     Effect::Say { conn, message, stood, steps } => {
                         let said = Box::new(Said { message, stood, steps });
@@ -137,8 +137,8 @@
                             // It does not read what is said to it.
                             self.viewers.remove(&conn);
                         }
-                        desk.viewer_gone(now, conn);
-                        desk.unsaid(now, vec![*said]);
+                        dispatcher.viewer_gone(now, conn);
+                        dispatcher.unsaid(now, vec![*said]);
                     }
                     Effect::Retire { conn, heard } => {
                         // One that does not read is not idle, and ends by itself.
@@ -151,7 +151,7 @@
                     }
                     Effect::Dial { on, address } => self.dial(on, address),
                     Effect::Write { on, orders } => {
-                        // The desk hands over one batch at a time: there is always room, or nobody is left.
+                        // The dispatcher hands over one batch at a time: there is always room, or nobody is left.
                         let _ = self.links.get(&on).map(|wire| wire.batches.try_send(orders));
                     }
                     Effect::Hang { on, awaits_close } => {
@@ -174,34 +174,34 @@
         tokio::spawn(streamers::run(self.clock, to, ordered, closed, self.from_streamers.clone()));
     }
 
-    fn of_viewer(&mut self, now: Point, desk: &mut Desk, report: viewers::Report) {
+    fn of_viewer(&mut self, now: Point, dispatcher: &mut Dispatcher, report: viewers::Report) {
         match report {
-            viewers::Report::Said { conn, message, read } => desk.viewer_said(now, conn, message, read),
+            viewers::Report::Said { conn, message, read } => dispatcher.viewer_said(now, conn, message, read),
             viewers::Report::Gone { conn, unsaid } => {
                 self.viewers.remove(&conn);
-                desk.viewer_gone(now, conn);
-                desk.unsaid(now, unsaid);
+                dispatcher.viewer_gone(now, conn);
+                dispatcher.unsaid(now, unsaid);
             }
-            viewers::Report::Unread { unread } => desk.unsaid(now, unread),
+            viewers::Report::Unread { unread } => dispatcher.unsaid(now, unread),
         }
     }
 
-    fn viewer_comes(&mut self, now: Point, desk: &mut Desk, conn: u64, socket: TcpStream) {
+    fn viewer_comes(&mut self, now: Point, dispatcher: &mut Dispatcher, conn: u64, socket: TcpStream) {
         let (words, said) = mpsc::channel(SAY_MOST);
         self.viewers.insert(conn, words);
-        desk.viewer_up(now, conn);
+        dispatcher.viewer_up(now, conn);
         self.writing.spawn(viewers::run(self.clock, conn, socket, said, self.from_viewers.clone()));
     }
 
-    fn of_streamer(&mut self, now: Point, desk: &mut Desk, report: streamers::Report) {
+    fn of_streamer(&mut self, now: Point, dispatcher: &mut Dispatcher, report: streamers::Report) {
         match report {
-            streamers::Report::Linked { on } => desk.linked(now, on),
-            streamers::Report::Wrote { on, unsent } => desk.wrote(now, on, unsent),
-            streamers::Report::Told { on, message } => desk.told(now, on, message),
-            streamers::Report::Lost { on, loss } => desk.lost(now, on, loss),
+            streamers::Report::Linked { on } => dispatcher.linked(now, on),
+            streamers::Report::Wrote { on, unsent } => dispatcher.wrote(now, on, unsent),
+            streamers::Report::Told { on, message } => dispatcher.told(now, on, message),
+            streamers::Report::Lost { on, loss } => dispatcher.lost(now, on, loss),
             streamers::Report::Closed { on, by_streamer } => {
                 self.links.remove(&on);
-                desk.closed(now, on, by_streamer);
+                dispatcher.closed(now, on, by_streamer);
             }
         }
     }
@@ -236,14 +236,14 @@
         from_viewers,
         from_streamers,
     };
-    let mut desk = Desk::start(now(), config.seed(), &sheet, terms);
+    let mut dispatcher = Dispatcher::start(now(), config.seed(), &sheet, terms);
     for event in &config.known.entries {
-        desk.learn(now(), &event.hosts);
+        dispatcher.learn(now(), &event.hosts);
     }
     let (address, moved) = watch::channel(config.journal.clone());
     let journal = tokio::spawn(journal::follow(moved, config.known.pos, news));
     tracing::debug!(target: "config", settings = %config.settings, known = ?config.known);
-    tracing::info!(listen = %config.listen, streamers = desk.streamers(), "serves");
+    tracing::info!(listen = %config.listen, streamers = dispatcher.streamers(), "serves");
     let mut next_conn = 0;
     // Accepted, and waiting for another to make room.
     let mut doorway: Option<TcpStream> = None;
@@ -255,76 +255,76 @@
     // Since when nothing is in hand.
     let mut empty: Option<Point> = None;
     loop {
-        sockets.carry_out(now(), &mut desk);
+        sockets.carry_out(now(), &mut dispatcher);
         while sockets.writing.try_join_next().is_some() {}
-        empty = (desk.in_hand() == 0).then(|| empty.unwrap_or(now()));
+        empty = (dispatcher.in_hand() == 0).then(|| empty.unwrap_or(now()));
         if let Some(since) = stops {
             let gone = now() - since;
             let said = empty.is_some_and(|since| now() - since >= LAST_WORDS);
-            if gone >= STOP_LEAST && said || gone >= stop_most && desk.open() == 0 {
+            if gone >= STOP_LEAST && said || gone >= stop_most && dispatcher.open() == 0 {
                 break;
             }
         }
         let awake = now();
-        let due = Instant::from_std(clock.instant(lemontide_front::core::seconds(desk.next())));
+        let due = Instant::from_std(clock.instant(lemontide_front::core::seconds(dispatcher.next())));
         let again = read_again.map_or(due, |(at, _)| at.min(due));
         let open = doorway.is_none() && no_descriptor.is_none_or(|until| Instant::now() >= until);
         let (mut said, mut told, mut hosts, mut accepted) = (None, None, None, None);
         tokio::select! {
             biased;
             Some(()) = terminate.recv() => {
-                tracing::info!(in_hand = desk.in_hand(), "stops");
+                tracing::info!(in_hand = dispatcher.in_hand(), "stops");
                 stops.get_or_insert(now());
-                desk.stop(now());
+                dispatcher.stop(now());
             }
             Some(()) = hang_up.recv() => read_again = Some((Instant::now(), READ_AGAIN_MOST)),
-            Some(report) = viewers_said.recv(), if desk.asked() < ROUND => said = Some(report),
+            Some(report) = viewers_said.recv(), if dispatcher.asked() < ROUND => said = Some(report),
             Some(report) = streamers_said.recv() => told = Some(report),
             Some(news) = list.recv() => hosts = Some(news),
             came = listener.accept(), if open => accepted = Some(came),
             // What else there is to hear is heard before the next request is decided.
-            () = tokio::task::yield_now(), if desk.asked() > 0 => {}
+            () = tokio::task::yield_now(), if dispatcher.asked() > 0 => {}
             () = sleep_until(again) => {}
         }
-        let late = Some(now() - desk.next().max(awake)).filter(|late| *late >= STOOD_STILL);
+        let late = Some(now() - dispatcher.next().max(awake)).filter(|late| *late >= STOOD_STILL);
         if late.is_some() {
             // What came meanwhile is heard before anything is decided: a viewer that left, the end of an attempt, a
             // drain. The first turn of the runtime sees what the sockets hold, the second lets their tasks report it.
             tokio::task::yield_now().await;
             tokio::task::yield_now().await;
         }
-        desk.stood_still(late.unwrap_or(Span::ZERO));
+        dispatcher.stood_still(late.unwrap_or(Span::ZERO));
         let mut handed = false;
         // Each source has its share of every turn, so that a flood from one keeps none of the others waiting.
         // Viewers come first, as they may leave what would else be sent on; the timer comes last, as what it would
         // call late may have been told.
         for _ in 0..ROUND {
             // Whoever asks for more than is decided waits in its own connection.
-            let more = desk.asked() < ROUND;
+            let more = dispatcher.asked() < ROUND;
             let next = said.take().or_else(|| more.then(|| viewers_said.try_recv().ok()).flatten());
             let Some(report) = next else { break };
-            sockets.of_viewer(now(), &mut desk, report);
+            sockets.of_viewer(now(), &mut dispatcher, report);
         }
         for _ in 0..ROUND {
             let Some(news) = hosts.take().or_else(|| list.try_recv().ok()) else { break };
-            desk.learn(now(), &news);
+            dispatcher.learn(now(), &news);
         }
         for _ in 0..ROUND {
             let Some(report) = told.take().or_else(|| streamers_said.try_recv().ok()) else { break };
-            sockets.of_streamer(now(), &mut desk, report);
-            handed |= sockets.carry_out(now(), &mut desk);
+            sockets.of_streamer(now(), &mut dispatcher, report);
+            handed |= sockets.carry_out(now(), &mut dispatcher);
         }
-        desk.stood_still(Span::ZERO);
-        if now() >= desk.next() {
-            desk.tick(now());
+        dispatcher.stood_still(Span::ZERO);
+        if now() >= dispatcher.next() {
+            dispatcher.tick(now());
         }
         // An answer in hand leaves before a request is decided, and one request is decided a turn. Guards against
         // answers that wait in a full turn: a viewer may leave meanwhile, and its time runs.
-        if desk.asked() > 0 {
-            if sockets.carry_out(now(), &mut desk) || handed {
+        if dispatcher.asked() > 0 {
+            if sockets.carry_out(now(), &mut dispatcher) || handed {
                 tokio::task::yield_now().await;
             }
-            desk.decide(now());
+            dispatcher.decide(now());
         }
         for _ in 0..ROUND {
             if let Some(socket) = doorway.take() {
@@ -332,20 +332,20 @@
                 if held >= viewers_most || closing >= viewers_most + closing_most {
                     // Nobody is turned away while another has room to make, and nobody who is owed an answer is cut.
                     if held >= viewers_most {
-                        desk.make_room();
+                        dispatcher.make_room();
                     }
                     doorway = Some(socket);
                     break;
                 }
                 next_conn += 1;
-                sockets.viewer_comes(now(), &mut desk, next_conn, socket);
+                sockets.viewer_comes(now(), &mut dispatcher, next_conn, socket);
             }
             match accepted.take().or_else(|| listener.accept().now_or_never()) {
                 Some(Ok((socket, _))) => doorway = Some(socket),
                 Some(Err(e)) => {
                     // Out of descriptors: one that is idle makes room, and others get time to end.
                     tracing::warn!(error = %e, "can't accept");
-                    desk.make_room();
+                    dispatcher.make_room();
                     no_descriptor = Some(Instant::now() + ACCEPT_REST);
                     break;
                 }
--- a/crates/lemontide-platform/src/streamers.rs
+++ b/crates/lemontide-platform/src/streamers.rs
@@ -1,8 +1,8 @@
-//! One connection to a streamer: dials, writes what the desk hands over and reports what comes back. Nothing is
+//! One connection to a streamer: dials, writes what the dispatcher hands over and reports what comes back. Nothing is
 //! decided here; every report carries the number of the dial that it belongs to.
 
 use crate::codec::{Codec, Message};
-use crate::desk::{Loss, Order};
+use crate::dispatcher::{Loss, Order};
 use crate::permit::Permit;
 use crate::reader::Reader;
 use bytes::{Buf, BytesMut};
@@ -75,7 +75,7 @@
     ByStreamer,
     /// It can't be read or written any more; its reading half.
     Unusable(Option<Reader>),
-    /// The desk closes it.
+    /// The dispatcher closes it.
     Told(Close, Option<Reader>),
 }
 
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -1,4 +1,4 @@
-//! Viewers' connections: reads what comes, writes what the desk says, ends what can't be read. Nothing is decided
+//! Viewers' connections: reads what comes, writes what the dispatcher says, ends what can't be read. Nothing is decided
 //! here but whether a connection is still idle in the moment in which it would be closed.
 
 use crate::codec::Message;
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A desk with scripted links and viewers, in virtual time: what it writes is kept, what it says is counted.
+//! A dispatcher with scripted links and viewers, in virtual time: what it writes is kept, what it says is counted.
 #![allow(dead_code)] // each test program uses its own part
 
 use bytes::Bytes;
@@ -7,7 +7,7 @@
 use lemontide_front::core::{Connection, Queued};
 use lemontide_platform::codec::{cause, Body, Figures, Message, SetUp};
 use lemontide_platform::config::{Entry, Hosts};
-use lemontide_platform::desk::{Desk, Effect, Loss, Order};
+use lemontide_platform::dispatcher::{Dispatcher, Effect, Loss, Order};
 use lemontide_platform::permit::Permit;
 use lemontide_platform::serve;
 use serde_json::{json, Value as Json};
@@ -61,7 +61,7 @@
 }
 
 pub struct World {
-    pub desk: Desk,
+    pub dispatcher: Dispatcher,
     pub now: Point,
     /// All that was written to streamers, with the link, in order.
     pub written: Vec<(u64, Message)>,
@@ -101,7 +101,7 @@
         let sheet = lemontide_sheet::sheet(&settings).expect("usable settings");
         let terms = serve::terms(&sheet, &settings, 256).expect("usable settings");
         let mut world = World {
-            desk: Desk::start(now, 7, &sheet, terms),
+            dispatcher: Dispatcher::start(now, 7, &sheet, terms),
             now,
             written: Vec::new(),
             said: Vec::new(),
@@ -122,13 +122,13 @@
         };
         let servers = (0..STREAMERS).map(|at| entry(at, "in_service")).collect();
         world.learn(&Hosts { full: true, servers });
-        world.desk.viewer_up(now, VIEWERS);
+        world.dispatcher.viewer_up(now, VIEWERS);
         world.pass(20.0);
         world
     }
 
     pub fn learn(&mut self, hosts: &Hosts) {
-        self.desk.learn(self.now, hosts);
+        self.dispatcher.learn(self.now, hosts);
         self.perform();
     }
 
@@ -148,8 +148,8 @@
     }
 
     pub fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.desk.viewer_said(self.now, conn, Message { session, body }, self.now);
-        while self.desk.decide(self.now) {}
+        self.dispatcher.viewer_said(self.now, conn, Message { session, body }, self.now);
+        while self.dispatcher.decide(self.now) {}
         self.perform();
     }
 
@@ -187,7 +187,7 @@
     }
 
     pub fn tell_on(&mut self, link: u64, session: u64, body: Body) {
-        self.desk.told(self.now, self.on(link), Message { session, body });
+        self.dispatcher.told(self.now, self.on(link), Message { session, body });
         self.perform();
     }
 
@@ -208,8 +208,8 @@
     /// The streamer closes a connection, or a dial ends.
     pub fn loses(&mut self, link: u64, loss: Loss) {
         let on = self.on(link);
-        self.desk.lost(self.now, on, loss);
-        self.desk.closed(self.now, on, loss == Loss::Broke);
+        self.dispatcher.lost(self.now, on, loss);
+        self.dispatcher.closed(self.now, on, loss == Loss::Broke);
         self.perform();
     }
 
@@ -227,7 +227,7 @@
 
     fn passes(&mut self, on: Connection, test: u64) {
         let passed = Message { session: test, body: Body::Tested { passed: true } };
-        self.desk.told(self.now, on, passed);
+        self.dispatcher.told(self.now, on, passed);
     }
 
     /// Whether the streamer at the other end of a link reads what comes.
@@ -261,19 +261,19 @@
             for (link, dial) in self.dials.clone() {
                 if self.is_read(link) {
                     let word = Message { session: 0, body: Body::Progress };
-                    self.desk.told(self.now, Connection { link, dial }, word);
+                    self.dispatcher.told(self.now, Connection { link, dial }, word);
                 }
             }
-            if self.now >= self.desk.next() {
-                self.desk.tick(self.now);
+            if self.now >= self.dispatcher.next() {
+                self.dispatcher.tick(self.now);
             }
             self.perform();
         }
     }
 
     pub fn perform(&mut self) {
-        while !self.desk.effects.is_empty() {
-            for effect in std::mem::take(&mut self.desk.effects) {
+        while !self.dispatcher.effects.is_empty() {
+            for effect in std::mem::take(&mut self.dispatcher.effects) {
                 match effect {
                     Effect::Say { conn, message, .. } => self.said.push((conn, message)),
                     Effect::Part { conn } => self.parted.push(conn),
@@ -285,10 +285,10 @@
                         match away {
                             _ if self.stuck => {}
                             Some(loss) => {
-                                self.desk.lost(self.now, on, loss);
-                                self.desk.closed(self.now, on, false);
+                                self.dispatcher.lost(self.now, on, loss);
+                                self.dispatcher.closed(self.now, on, false);
                             }
-                            None => self.desk.linked(self.now, on),
+                            None => self.dispatcher.linked(self.now, on),
                         }
                     }
                     Effect::Write { on, orders } => {
@@ -305,7 +305,7 @@
                         if self.late_close {
                             self.closing.push((on, awaits_close));
                         } else {
-                            self.desk.closed(self.now, on, awaits_close && self.is_read(on.link));
+                            self.dispatcher.closed(self.now, on, awaits_close && self.is_read(on.link));
                         }
                     }
                 }
@@ -320,7 +320,7 @@
             orders.into_iter().filter(may).map(|queued| queued.order.message).collect();
         let tests: Vec<u64> = written.iter().filter(|m| m.body == Body::Test).map(|m| m.session).collect();
         self.written.extend(written.into_iter().map(|message| (on.link, message)));
-        self.desk.wrote(self.now, on, Vec::new());
+        self.dispatcher.wrote(self.now, on, Vec::new());
         for test in tests {
             if self.is_read(on.link) {
                 self.passes(on, test);
@@ -333,7 +333,7 @@
     /// The connections that were told to close are closed, by their streamers as well where that is awaited.
     pub fn close_all(&mut self, by_streamer: bool) {
         for (on, awaits_close) in std::mem::take(&mut self.closing) {
-            self.desk.closed(self.now, on, awaits_close && by_streamer);
+            self.dispatcher.closed(self.now, on, awaits_close && by_streamer);
         }
         self.perform();
     }
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -1,4 +1,4 @@
-//! Two events that cross, in the desk: every pair in an order that is forced, in virtual time.
+//! Two events that cross, in the dispatcher: every pair in an order that is forced, in virtual time.
 
 mod common;
 
@@ -6,7 +6,7 @@
 use lemontide_front::core::Connection;
 use lemontide_platform::codec::{cause, Body, Message, Note, SetUp};
 use lemontide_platform::config::Hosts;
-use lemontide_platform::desk::Loss;
+use lemontide_platform::dispatcher::Loss;
 
 /// All of the session's set-ups and releases as they were written: true for a set-up.
 fn order_of(world: &World, session: u64) -> Vec<bool> {
@@ -40,7 +40,7 @@
         let session = world.ask("paid");
         assert!(!world.batches.is_empty(), "it waits to be written");
         match closes {
-            true => world.desk.viewer_gone(world.now, VIEWERS),
+            true => world.dispatcher.viewer_gone(world.now, VIEWERS),
             false => world.say(VIEWERS, session, Body::release(cause::NORMAL)),
         }
         world.perform();
@@ -185,7 +185,7 @@
     world.away.insert(world.address[&link].clone(), Loss::Dark);
     world.pass(3.0);
     assert_eq!((world.shots(session), world.answered(session)), (1, Some(cause::TURNED_BACK)));
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     world.say(2, session, Body::SetUp(wish("free")));
     assert_eq!(world.shots(session), 1, "its attempt may still be out");
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
@@ -266,7 +266,7 @@
     let (session, link) = world.playing("free");
     world.unread = [link].into();
     world.say(VIEWERS, session, Body::release(cause::NORMAL));
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     world.say(2, session, Body::SetUp(wish("free")));
     assert_eq!(order_of(&world, session), [true, false], "its stream may still stand");
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::UNUSABLE, .. }]));
@@ -274,7 +274,7 @@
     world.unread.clear();
     for (conn, wait, is_taken) in [(3, 0.0, false), (4, 7.9, false), (5, 0.2, true)] {
         world.pass(wait);
-        world.desk.viewer_up(world.now, conn);
+        world.dispatcher.viewer_up(world.now, conn);
         world.say(conn, session, Body::SetUp(wish("free")));
         assert_eq!(world.shots(session) == 2, is_taken, "{wait} s later");
     }
@@ -291,7 +291,7 @@
         world.say(VIEWERS, *session, Body::release(cause::NORMAL));
     }
     for (link, dial) in world.dials.clone() {
-        world.desk.linked(world.now, Connection { link, dial });
+        world.dispatcher.linked(world.now, Connection { link, dial });
     }
     world.perform();
     for (n, session) in asked.iter().enumerate() {
@@ -305,17 +305,20 @@
         let mut world = World::new();
         let (asks, session) = (Body::SetUp(wish("free")), 0xabc);
         let message = |body| Message { session, body };
-        world.desk.viewer_said(world.now, VIEWERS, message(asks), world.now);
+        world.dispatcher.viewer_said(world.now, VIEWERS, message(asks), world.now);
         match closes {
-            true => world.desk.viewer_gone(world.now, VIEWERS),
-            false => {
-                world.desk.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now)
-            }
+            true => world.dispatcher.viewer_gone(world.now, VIEWERS),
+            false => world.dispatcher.viewer_said(
+                world.now,
+                VIEWERS,
+                message(Body::release(cause::NORMAL)),
+                world.now,
+            ),
         }
-        assert!(!world.desk.decide(world.now), "nothing is left to decide");
+        assert!(!world.dispatcher.decide(world.now), "nothing is left to decide");
         world.perform();
         assert!(order_of(&world, session).is_empty() && world.said.is_empty());
-        assert_eq!(world.desk.in_hand(), 0);
+        assert_eq!(world.dispatcher.in_hand(), 0);
     }
 }
 
@@ -324,10 +327,10 @@
     let mut world = World::new();
     let (read, session) = (world.now, 0xabc);
     let message = Message { session, body: Body::SetUp(wish("paid")) };
-    world.desk.viewer_said(read, VIEWERS, message, read);
+    world.dispatcher.viewer_said(read, VIEWERS, message, read);
     // It waits two of its three seconds for a decision.
     world.now = world.now + lemontide::clock::Span::of(2.0);
-    assert!(world.desk.decide(world.now));
+    assert!(world.dispatcher.decide(world.now));
     world.perform();
     let mut sent_on = world.written.iter().filter(|(_, message)| message.session == session);
     let Some((_, Message { body: Body::SetUp(set_up), .. })) = sent_on.next() else {
@@ -339,27 +342,27 @@
 #[test]
 fn what_is_asked_and_not_decided_keeps_its_connection_and_its_process() {
     let mut world = World::new();
-    let (in_hand, open) = (world.desk.in_hand(), world.desk.open());
-    assert_eq!(world.desk.spare(), Some(VIEWERS), "nothing is open on it");
+    let (in_hand, open) = (world.dispatcher.in_hand(), world.dispatcher.open());
+    assert_eq!(world.dispatcher.spare(), Some(VIEWERS), "nothing is open on it");
     let message = |body| Message { session: 0xabc, body };
-    world.desk.viewer_said(world.now, VIEWERS, message(Body::SetUp(wish("free"))), world.now);
-    assert_eq!((world.desk.in_hand(), world.desk.open()), (in_hand + 1, open + 1));
-    world.desk.make_room();
+    world.dispatcher.viewer_said(world.now, VIEWERS, message(Body::SetUp(wish("free"))), world.now);
+    assert_eq!((world.dispatcher.in_hand(), world.dispatcher.open()), (in_hand + 1, open + 1));
+    world.dispatcher.make_room();
     world.perform();
-    assert!(world.desk.spare().is_none() && world.retired.is_empty(), "it is not idle");
-    world.desk.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now);
-    assert_eq!((world.desk.in_hand(), world.desk.spare()), (in_hand, Some(VIEWERS)));
+    assert!(world.dispatcher.spare().is_none() && world.retired.is_empty(), "it is not idle");
+    world.dispatcher.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now);
+    assert_eq!((world.dispatcher.in_hand(), world.dispatcher.spare()), (in_hand, Some(VIEWERS)));
 }
 
 /// A newcomer that needs a place takes the place of one idle connection, not of several.
 #[test]
 fn one_idle_connection_makes_room_at_a_time() {
     let mut world = World::new();
-    (2..40).for_each(|conn| world.desk.viewer_up(world.now, conn));
+    (2..40).for_each(|conn| world.dispatcher.viewer_up(world.now, conn));
     let asks = 2;
     world.ask_on(asks, wish("free"));
     for _ in 0..8 {
-        world.desk.make_room();
+        world.dispatcher.make_room();
     }
     world.perform();
     assert_eq!(world.retired.len(), 1, "{:?}", world.retired);
@@ -422,7 +425,7 @@
     world.answer(session);
     world.tell_on(link, session, Body::release(cause::NORMAL));
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::NORMAL, .. }]));
-    assert_eq!((world.released(session), world.desk.in_hand()), (2, 0));
+    assert_eq!((world.released(session), world.dispatcher.in_hand()), (2, 0));
     let (session, _) = world.playing("free");
     world.ends(session, cause::NORMAL);
     assert_eq!(world.released(session), 0, "the release of a first attempt is its own");
@@ -434,7 +437,7 @@
     let mut world = World::new();
     let (session, _) = world.playing("free");
     world.ends(session, cause::NORMAL);
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     world.say(2, session, Body::SetUp(wish("free")));
     assert_eq!(world.shots(session), 1);
     assert!(matches!(world.said.last(), Some((2, Message { body: Body::Release { .. }, .. }))), "refused");
@@ -456,11 +459,11 @@
     world.late_close = true;
     world.pass(1.1);
     assert_eq!(world.closing, [(on, true)], "the streamer's own close is awaited");
-    world.desk.told(world.now, on, Message { session, body: Body::release(cause::NORMAL) });
+    world.dispatcher.told(world.now, on, Message { session, body: Body::release(cause::NORMAL) });
     world.perform();
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::NORMAL, .. }]));
     world.close_all(true);
-    world.desk.told(world.now, on, Message { session: 99, body: Body::release(cause::NORMAL) });
+    world.dispatcher.told(world.now, on, Message { session: 99, body: Body::release(cause::NORMAL) });
 }
 
 /// The answer of an attempt may be lost with its connection, and its request gets no other: what may stand is ended on
--- a/crates/lemontide-platform/tests/desk.rs
+++ b/crates/lemontide-platform/tests/dispatcher.rs
@@ -1,4 +1,4 @@
-//! The desk's hard cases, one by one, in virtual time, and its promises under any order of events.
+//! The dispatcher's hard cases, one by one, in virtual time, and its promises under any order of events.
 
 mod common;
 
@@ -6,7 +6,7 @@
 use common::{entry, settings, wish, World, STREAMERS, VIEWERS};
 use lemontide_platform::codec::{cause, Body, SetUp};
 use lemontide_platform::config::Hosts;
-use lemontide_platform::desk::Loss;
+use lemontide_platform::dispatcher::Loss;
 use proptest::prelude::*;
 use serde_json::{json, Value as Json};
 
@@ -24,7 +24,7 @@
     assert_eq!(world.answered(session), Some(0));
     world.ends(session, cause::NORMAL);
     assert!(matches!(world.heard(session)[..], [_, Body::Release { cause: cause::NORMAL, .. }]));
-    assert_eq!(world.desk.in_hand(), 0);
+    assert_eq!(world.dispatcher.in_hand(), 0);
 }
 
 /// A set-up may be shot again, or refused, only where no shot of a paid lane may have run.
@@ -74,13 +74,13 @@
     let mut world = World::new();
     let session = world.ask("free");
     world.say(VIEWERS, session, Body::release(cause::NORMAL));
-    assert_eq!((world.released(session), world.desk.in_hand()), (1, 0));
+    assert_eq!((world.released(session), world.dispatcher.in_hand()), (1, 0));
     world.answer(session);
     assert!(world.heard(session).is_empty());
     let gone = world.ask("paid");
-    world.desk.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS);
     world.perform();
-    assert_eq!((world.released(gone), world.desk.in_hand()), (1, 0));
+    assert_eq!((world.released(gone), world.dispatcher.in_hand()), (1, 0));
 }
 
 /// What stands belongs to no connection, of neither side.
@@ -89,10 +89,10 @@
     let mut world = World::new();
     let (session, link) = world.playing("paid");
     world.loses(link, Loss::Broke);
-    world.desk.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS);
     world.pass(3.0);
-    assert_eq!(world.desk.in_hand(), 1);
-    world.desk.viewer_up(world.now, 2);
+    assert_eq!(world.dispatcher.in_hand(), 1);
+    world.dispatcher.viewer_up(world.now, 2);
     let other = world.ask_on(2, wish("free"));
     world.answer(other);
     let at = world.address[&link].clone();
@@ -100,7 +100,7 @@
     world.tell_on(again, session, Body::release(cause::NORMAL));
     assert!(world.said.iter().any(|(conn, m)| *conn == 2 && m.session == session), "on any connection");
     world.say(2, other, Body::release(cause::NORMAL));
-    assert_eq!((world.released(other), world.desk.in_hand()), (1, 0), "ended by its viewer");
+    assert_eq!((world.released(other), world.dispatcher.in_hand()), (1, 0), "ended by its viewer");
 }
 
 /// Hundreds of controllers by hundreds of streamers: a connection is there for what needs it and for nobody else.
@@ -149,18 +149,18 @@
     world.pass(0.15);
     world.away.clear();
     world.say(VIEWERS, session, Body::release(cause::NORMAL));
-    assert_eq!((world.released(session), world.desk.in_hand()), (1, 0));
+    assert_eq!((world.released(session), world.dispatcher.in_hand()), (1, 0));
 }
 
 #[test]
 fn a_release_that_no_connection_takes_waits_for_one() {
     let mut world = World::new();
     let (session, link) = world.playing("free");
-    world.desk.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS);
     world.tell_on(link, session, Body::release(cause::BROKEN));
     assert_eq!(world.heard(session).len(), 1);
     world.pass(1.0);
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     let next = world.ask_on(2, wish("free"));
     world.answer(next);
     assert_eq!(world.heard(session).len(), 2);
@@ -228,8 +228,8 @@
     assert_eq!(world.heard(session).len(), 1, "it may still play");
     world.loses(link, Loss::Broke);
     assert_eq!(world.heard(session).len(), 2, "nobody will tell any more");
-    assert_eq!(world.desk.streamers(), STREAMERS - 1);
-    assert!(world.desk.links() < STREAMERS, "none of them is its own");
+    assert_eq!(world.dispatcher.streamers(), STREAMERS - 1);
+    assert!(world.dispatcher.links() < STREAMERS, "none of them is its own");
 }
 
 #[test]
@@ -274,7 +274,7 @@
     world.learn(&Hosts { full: false, servers: vec![entry(at, "terminated"), new] });
     world.loses(link, Loss::Broke);
     assert_eq!(world.heard(session).len(), 2, "the new one does not know it");
-    assert_eq!(world.desk.streamers(), STREAMERS);
+    assert_eq!(world.dispatcher.streamers(), STREAMERS);
 }
 
 #[test]
@@ -308,11 +308,11 @@
 fn two_set_ups_under_one_number_end_their_connection_and_not_anothers() {
     let mut world = World::new();
     let session = world.ask("free");
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     world.say(2, session, Body::SetUp(wish("free")));
     assert!(world.said.iter().any(|(conn, m)| *conn == 2 && m.session == session));
     world.say(VIEWERS, session, Body::SetUp(wish("free")));
-    assert_eq!((world.parted.clone(), world.desk.in_hand()), (vec![VIEWERS], 0));
+    assert_eq!((world.parted.clone(), world.dispatcher.in_hand()), (vec![VIEWERS], 0));
 }
 
 /// One connection sent the same wish two hundred times, and the module counted each for its tenant.
@@ -338,7 +338,7 @@
     let shot = asked.iter().filter(|session| world.shots(**session) > 0).count();
     assert!((1..100).contains(&shot), "{shot} of 200 were shot");
     assert!(asked.iter().all(|s| world.shots(*s) > 0 || world.answered(*s).is_some_and(World::is_refusal)));
-    world.desk.viewer_up(world.now, 2);
+    world.dispatcher.viewer_up(world.now, 2);
     let other = world.ask_on(2, wish("free"));
     assert_eq!(world.shots(other), 1);
 }
@@ -350,11 +350,11 @@
     handed.figures.as_mut().expect("some").at = Some("s1".into());
     world.say(VIEWERS, 7, Body::SetUp(handed.clone()));
     world.say(VIEWERS, 7, Body::SetUp(handed.clone()));
-    assert_eq!((world.desk.in_hand(), world.heard(7).len()), (1, 0));
+    assert_eq!((world.dispatcher.in_hand(), world.heard(7).len()), (1, 0));
     world.pass(0.2);
     let link = *world.address.iter().find(|(_, a)| *a == "127.0.0.1:9001").expect("it is linked").0;
     world.tell_on(link, 7, Body::release(cause::NORMAL));
-    assert_eq!((world.desk.in_hand(), world.heard(7).len()), (0, 1));
+    assert_eq!((world.dispatcher.in_hand(), world.heard(7).len()), (0, 1));
     handed.figures.as_mut().expect("some").at = Some("nowhere".into());
     world.say(VIEWERS, 8, Body::SetUp(handed));
     assert_eq!(world.heard(8).len(), 1, "nobody will ever tell of it");
@@ -367,19 +367,19 @@
         world.ask("free");
         world.pass(0.01);
     }
-    assert!(world.desk.links() > STREAMERS && world.desk.links() <= 256 / 3);
+    assert!(world.dispatcher.links() > STREAMERS && world.dispatcher.links() <= 256 / 3);
     world.pass(10.0);
-    assert_eq!(world.desk.in_hand(), 0, "every one has its answer");
+    assert_eq!(world.dispatcher.in_hand(), 0, "every one has its answer");
 }
 
 /// New numbers, connections and streamers all day long: what is over leaves nothing behind.
 #[test]
 fn thousands_of_lives_leave_the_tables_empty() {
     let mut world = World::new();
-    world.desk.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS);
     for life in 0..3000u64 {
         let conn = 1000 + life;
-        world.desk.viewer_up(world.now, conn);
+        world.dispatcher.viewer_up(world.now, conn);
         let session = world.ask_on(conn, wish(if life % 2 == 0 { "free" } else { "paid" }));
         if world.shot(session).is_some() {
             world.answer(session);
@@ -400,22 +400,22 @@
             world.learn(&Hosts { full: false, servers: vec![old, new] });
             world.pass(0.1);
         }
-        world.desk.viewer_gone(world.now, conn);
+        world.dispatcher.viewer_gone(world.now, conn);
         world.perform();
     }
     for link in world.dials.clone().into_keys() {
         world.loses(link, Loss::Broke);
     }
     world.pass(1.0);
-    assert_eq!((world.desk.in_hand(), world.desk.open(), world.desk.spare()), (0, 0, None));
-    assert_eq!(world.desk.streamers(), STREAMERS);
-    assert!(world.desk.links() <= STREAMERS, "{} links", world.desk.links());
+    assert_eq!((world.dispatcher.in_hand(), world.dispatcher.open(), world.dispatcher.spare()), (0, 0, None));
+    assert_eq!(world.dispatcher.streamers(), STREAMERS);
+    assert!(world.dispatcher.links() <= STREAMERS, "{} links", world.dispatcher.links());
 }
 
 #[test]
 fn after_the_last_call_set_ups_are_turned_back_at_once() {
     let mut world = World::new();
-    world.desk.stop(world.now);
+    world.dispatcher.stop(world.now);
     let early = world.ask("free");
     assert_eq!(world.shots(early), 1);
     world.pass(0.7);
@@ -501,7 +501,7 @@
             }
         }
         world.pass(3.0);
-        prop_assert_eq!(world.desk.open(), 0, "every wish has its answer by its cut-off");
+        prop_assert_eq!(world.dispatcher.open(), 0, "every wish has its answer by its cut-off");
         for (session, paid) in asked {
             let heard = world.heard(session);
             if given_up.contains(&session) {
@@ -548,10 +548,10 @@
         assert_eq!(world.answered(tries), None, "it may have one more");
         world.ends(tries, cause::FULL);
         assert_eq!(stay_away(&world, tries), due, "with the last shot");
-        world.desk.stop(world.now);
+        world.dispatcher.stop(world.now);
         world.pass(0.7);
         let late = world.ask("paid");
-        assert_eq!(stay_away(&world, late), due, "what the desk turns back by itself");
+        assert_eq!(stay_away(&world, late), due, "what the dispatcher turns back by itself");
     }
 }
 
@@ -573,7 +573,7 @@
     }
     world.pass(30.0);
     world.news(entry(0, "terminating"));
-    assert_eq!((world.desk.in_hand(), world.said.len()), (21, 21), "nobody is told anything");
+    assert_eq!((world.dispatcher.in_hand(), world.said.len()), (21, 21), "nobody is told anything");
 }
 
 /// Where looks are allowed a wish waited three quarters of a second for looks that the platform has no message for.
--- a/crates/lemontide-platform/tests/settings.rs
+++ b/crates/lemontide-platform/tests/settings.rs
@@ -7,7 +7,7 @@
 use lemontide::clock::{Point, Span};
 use lemontide_platform::codec::{Body, Message};
 use lemontide_platform::config::Hosts;
-use lemontide_platform::desk::{Desk, Effect};
+use lemontide_platform::dispatcher::{Dispatcher, Effect};
 use lemontide_platform::serve;
 use serde_json::{json, Value as Json};
 
@@ -22,24 +22,24 @@
     }
 }
 
-/// Starts a desk on these settings and lets it work for a while; the error where they can't be used.
+/// Starts a dispatcher on these settings and lets it work for a while; the error where they can't be used.
 fn serve(settings: &Json) -> Result<(), String> {
     let mut now = Point::at(1000.0);
     let sheet = lemontide_sheet::sheet(settings)?;
     let terms = serve::terms(&sheet, settings, 256)?;
-    let mut desk = Desk::start(now, 7, &sheet, terms);
+    let mut dispatcher = Dispatcher::start(now, 7, &sheet, terms);
     let servers = (0..STREAMERS).map(|at| entry(at, "in_service")).collect();
-    desk.learn(now, &Hosts { full: true, servers });
-    desk.viewer_up(now, 1);
+    dispatcher.learn(now, &Hosts { full: true, servers });
+    dispatcher.viewer_up(now, 1);
     for session in 1..100 {
         now = now + Span::of_millis(50);
         let lane = if session % 2 == 0 { "free" } else { "paid" };
-        desk.viewer_said(now, 1, Message { session, body: Body::SetUp(wish(lane)) }, now);
-        assert!(desk.decide(now));
-        while !desk.effects.is_empty() {
-            for effect in std::mem::take(&mut desk.effects) {
+        dispatcher.viewer_said(now, 1, Message { session, body: Body::SetUp(wish(lane)) }, now);
+        assert!(dispatcher.decide(now));
+        while !dispatcher.effects.is_empty() {
+            for effect in std::mem::take(&mut dispatcher.effects) {
                 match effect {
-                    Effect::Dial { on, .. } => desk.linked(now, on),
+                    Effect::Dial { on, .. } => dispatcher.linked(now, on),
                     Effect::Write { on, orders } => {
                         for queued in orders {
                             let Message { session, body } = queued.order.message;
@@ -47,17 +47,17 @@
                             if matches!(body, Body::SetUp(_)) {
                                 let answer =
                                     Body::Answer { description: Bytes::new(), load: Default::default() };
-                                desk.told(now, on, Message { session, body: answer });
+                                dispatcher.told(now, on, Message { session, body: answer });
                             }
                         }
-                        desk.wrote(now, on, Vec::new());
+                        dispatcher.wrote(now, on, Vec::new());
                     }
                     _ => {}
                 }
             }
         }
-        if now >= desk.next() {
-            desk.tick(now);
+        if now >= dispatcher.next() {
+            dispatcher.tick(now);
         }
     }
     Ok(())
--- a/crates/lemontide-standin/tests/crossings.rs
+++ b/crates/lemontide-standin/tests/crossings.rs
@@ -5,7 +5,7 @@
 use lemontide_front::core::{Connection, Queued};
 use lemontide_platform::codec::{Body, Message, SetUp};
 use lemontide_platform::config::Hosts;
-use lemontide_platform::desk::Order;
+use lemontide_platform::dispatcher::Order;
 use lemontide_platform::journal;
 use lemontide_platform::permit::Permit;
 use lemontide_platform::streamers::{run, Close, Dial, Report};
@@ -111,7 +111,7 @@
     assert_eq!(wrote, 1);
 }
 
-/// After a hang-up the writer went on with the batch: what the desk had declared broken and sent elsewhere left all
+/// After a hang-up the writer went on with the batch: what the dispatcher had declared broken and sent elsewhere left all
 /// the same. And it is over only when the socket is closed, as the next attempt leaves then.
 #[tokio::test]
 async fn after_a_hang_up_nothing_more_begins_and_the_end_is_told_after_the_close() {
