--- a/src/books.rs
+++ b/src/books.rs
@@ -1,4 +1,4 @@
-//! The records that a controller keeps: plain bookkeeping, every judgement of it is in `control.rs`.
+//! The records that a controller keeps: plain bookkeeping, every judgement of it is in `control`.
 
 use crate::clock::{Point, Span};
 use crate::interface::{number, span, text, Sheet};
