serve: each request that is taken has one reply as a value, which can't be dropped unseen

Callers saw: no answer for any request on a connection whose client closed its half, sent something unreadable or unfinished, or used a number twice.

Change: a request becomes a PendingReply as it is read. It moves to the dispatcher, into the request in hand, back with the answer, and is settled when the socket has taken the answer or the client is proven gone: it cancelled, reset, reads nothing, or answered a message that means nothing with a reset after it closed. A connection whose input ends drains: what is open on it gets no further attempt (Handle::conclude) and its answer, then it closes. A dropped reply is logged and answered on the next tick, one past its cut-off is concluded and logged. A process ends with no reply open, and answers what was read until then.

--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -7,11 +7,15 @@
 mod connections;
 mod ended;
 mod list;
+mod unanswered;
 mod viewers;
 
+pub use unanswered::InputEnd;
+
 use crate::codec::{cause, Body, Message, Note, SetUp};
 use crate::config::{Entry, Hosts};
 use crate::permit::Permit;
+use crate::replies::{Departure, Heard, PendingReply, Replies};
 use crate::steps::{Outcome, Steps};
 use crate::viewers::Said;
 use bytes::Bytes;
@@ -58,13 +62,15 @@
 }
 
 /// Something that has to be done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum Effect {
     Say {
         conn: u64,
         message: Message,
         /// It ends what stood: any viewers' connection may carry it.
         stood: bool,
+        /// Where it is the final answer of a request.
+        reply: Option<PendingReply>,
         /// Of the request that it answers, where they are logged.
         steps: Option<Box<Steps>>,
     },
@@ -73,7 +79,7 @@
         conn: u64,
         heard: u64,
     },
-    /// End a viewers' connection, after what was said on it.
+    /// Read nothing more on a viewers' connection, and close it once nothing on it is owed an answer.
     Part {
         conn: u64,
     },
@@ -156,6 +162,8 @@
     /// When it was read, and how long it may have waited unread.
     read: Point,
     late: Span,
+    /// Where an answer is owed.
+    reply: Option<PendingReply>,
 }
 
 /// A wish or subscription in hand.
@@ -163,6 +171,8 @@
     session: u64,
     handle: Handle,
     conn: u64,
+    /// Until it is answered.
+    reply: Option<PendingReply>,
     /// What is passed on with a shot; given up once it plays.
     set_up: SetUp,
     at: Rc<str>,
@@ -184,6 +194,34 @@
 }
 
 impl Held {
+    /// A request or session of this connection and number, read then and to be sent on until then.
+    fn new(
+        (conn, session): (u64, u64),
+        handle: Handle,
+        reply: Option<PendingReply>,
+        set_up: SetUp,
+        (read, until): (Point, Point),
+    ) -> Held {
+        Held {
+            session,
+            handle,
+            conn,
+            reply,
+            set_up,
+            at: "".into(),
+            until,
+            rung: 0,
+            shots: 0,
+            read,
+            decided: None,
+            begun: None,
+            attempt: None,
+            attempted_at: Vec::new(),
+            playing: None,
+            carrier: None,
+        }
+    }
+
     /// Whether what a streamer says of this session can concern no earlier attempt.
     fn is_first_at(&self, at: &Rc<str>) -> bool {
         !self.attempted_at.contains(at)
@@ -267,6 +305,8 @@
     heard: u64,
     /// It was asked to close, and has not said anything since.
     retiring: bool,
+    /// Nothing more is read on it, and nothing more is begun for it; what is owed on it is still answered.
+    is_draining: bool,
     /// The last set-ups that were turned away on it.
     turned_away: VecDeque<u64>,
 }
@@ -278,6 +318,7 @@
     }
 }
 
+/// Decides and remembers for all connections of one process.
 pub struct Dispatcher {
     module: Controller,
     terms: Terms,
@@ -312,6 +353,7 @@
     closing: BTreeMap<Connection, Rc<str>>,
     /// Number of the last test that was sent to a streamer.
     last_test: u64,
+    replies: Replies,
     pub effects: Vec<Effect>,
 }
 
@@ -344,6 +386,7 @@
             ended: EndedSessions::default(),
             closing: BTreeMap::new(),
             last_test: 0,
+            replies: Replies::default(),
             effects: Vec::new(),
         }
     }
@@ -370,6 +413,11 @@
         self.asked.len()
     }
 
+    /// The answers that are owed, which those who read from clients' connections add to.
+    pub fn replies(&self) -> &Replies {
+        &self.replies
+    }
+
     pub fn links(&self) -> usize {
         self.wires.len()
     }
@@ -409,5 +457,6 @@
             self.module.wake(now);
         }
         self.carry_out(now);
+        self.answer_overdue(now);
     }
 }
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -97,20 +97,22 @@
         }
         held.playing = Some(now);
         held.set_up.description = Bytes::new();
-        let (handle, conn, session) = (held.handle, held.conn, held.session);
+        let (handle, conn, session, reply) = (held.handle, held.conn, held.session, held.reply.take());
         tracing::debug!(target: "decision", session = format!("{session:016x}"), streamer = &*held.at, answered = true);
         handle.plays(&mut self.module, now);
         if load.link.is_some() || load.rack.is_some() {
             handle.load(&mut self.module, now, load);
         }
-        self.answer(conn, session, Body::Answer { description, load: Load::default() }, steps);
+        if let Some(reply) = reply {
+            self.answer(reply, Body::Answer { description, load: Load::default() }, steps);
+        }
         if let Some(from) = self.conns.get_mut(&conn) {
             from.open = from.open.saturating_sub(1);
             from.good = true;
         }
         for (until, message) in std::mem::take(&mut self.owed) {
             if now <= until {
-                self.effects.push(Effect::Say { conn, message, stood: true, steps: None });
+                self.effects.push(Effect::Say { conn, message, stood: true, reply: None, steps: None });
             }
         }
     }
@@ -308,7 +310,7 @@
     }
 
     /// Tells the module how an attempt, or what plays, ended.
-    fn tell_ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
+    pub(super) fn tell_ended(&mut self, now: Point, id: u32, ending: Ending, load: Load) {
         let Some(held) = self.held.get(&id) else { return };
         let (handle, plays) = (held.handle, held.playing.is_some());
         tracing::debug!(
@@ -350,14 +352,16 @@
 
     /// The one answer of a wish that came to nothing.
     pub(super) fn finish(&mut self, now: Point, id: u32, body: Body, outcome: Outcome) {
-        let Some(held) = self.remove(now, id) else { return };
+        let Some(mut held) = self.remove(now, id) else { return };
         self.turn_away(held.conn, held.session);
         tracing::debug!(
             target: "decision",
             session = format!("{:016x}", held.session), lane = held.set_up.lane, shots = held.shots, ?body
         );
         let steps = Self::steps(&held, outcome, now);
-        self.answer(held.conn, held.session, body, steps);
+        if let Some(reply) = held.reply.take() {
+            self.answer(reply, body, steps);
+        }
     }
 
     pub(super) fn set_rung(&mut self, now: Point, id: u32, rung: usize) {
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -1,5 +1,6 @@
 //! The dispatcher's part of viewers: their connections, their set-ups, and the one answer that each is owed.
 
+use super::unanswered::{InputEnd, ANSWER_GRACE};
 use super::*;
 
 /// Set-ups owed an answer on one viewers' connection at most. Guards against hundreds at once on one: a usual one
@@ -21,28 +22,30 @@
             said: now,
             heard: 0,
             retiring: false,
+            is_draining: false,
             turned_away: VecDeque::new(),
         };
         self.conns.insert(conn, new);
     }
 
-    /// A viewers' connection is over: what was asked on it and not answered is owed to nobody.
-    pub fn viewer_gone(&mut self, now: Point, conn: u64) {
-        let Some(was) = self.conns.remove(&conn) else { return };
-        self.asked.retain(|asked| asked.conn != conn);
-        if was.open > 0 {
-            let on_it = |held: &Held| held.conn == conn && held.playing.is_none();
-            let ids: Vec<u32> = self.held.iter().filter(|(_, h)| on_it(h)).map(|(id, _)| *id).collect();
-            for id in ids {
-                self.given_up(now, id);
-            }
+    /// The client of a connection is proven gone: what was asked on it and not answered is owed to nobody.
+    pub fn viewer_gone(&mut self, now: Point, conn: u64, why: Departure) {
+        if self.conns.remove(&conn).is_none() {
+            return;
+        }
+        for asked in self.take_asked_on(conn) {
+            asked.reply.into_iter().for_each(|reply| reply.client_gone(why));
+        }
+        for id in self.unanswered_on(conn) {
+            self.given_up(now, id, why);
         }
         self.carry_out(now);
     }
 
     /// The connection to end first where there are too many: idle for longest, before those that were of use.
     pub fn spare(&self) -> Option<u64> {
-        let idle = self.conns.iter().filter(|(_, conn)| conn.is_idle() && !conn.retiring);
+        let idle =
+            self.conns.iter().filter(|(_, conn)| conn.is_idle() && !conn.retiring && !conn.is_draining);
         idle.min_by_key(|(_, conn)| (conn.good, conn.said)).map(|(conn, _)| *conn)
     }
 
@@ -61,7 +64,8 @@
     /// What was to be said on a connection that is over. What stood is told of elsewhere; what a viewer never heard
     /// is set up is ended.
     pub fn unsaid(&mut self, now: Point, all: Vec<Said>) {
-        for Said { message, stood, .. } in all {
+        for Said { message, stood, reply, .. } in all {
+            reply.into_iter().for_each(|reply| reply.client_gone(Departure::Closed));
             match message.body {
                 Body::Release { cause, .. } if stood => self.release(now, 0, message.session, cause),
                 Body::Answer { .. } => {
@@ -77,18 +81,22 @@
         self.carry_out(now);
     }
 
-    /// Ends a viewers' connection from this side.
+    /// Ends a viewers' connection from this side, once all that is owed on it is answered.
     pub fn part(&mut self, now: Point, conn: u64) {
         if self.conns.contains_key(&conn) {
+            self.input_over(now, conn, InputEnd::Unusable);
             self.effects.push(Effect::Part { conn });
-            self.viewer_gone(now, conn);
         }
     }
 
     /// Hears a viewer. What it asks for waits for `decide`, so that all that was heard beside it counts: who leaves
     /// or cancels in the same moment is not sent on, and what streamers said leaves first.
-    pub fn viewer_said(&mut self, now: Point, conn: u64, message: Message, read: Point) {
-        let Some(from) = self.conns.get_mut(&conn) else { return };
+    pub fn viewer_said(&mut self, now: Point, heard: Heard) {
+        let Heard { conn, message, read, reply } = heard;
+        let Some(from) = self.conns.get_mut(&conn) else {
+            reply.into_iter().for_each(|reply| reply.client_gone(Departure::Closed));
+            return;
+        };
         from.said = now;
         from.heard += 1;
         from.retiring = false;
@@ -100,7 +108,7 @@
                     tracing::trace!(target: "request", session = format!("{session:016x}"), conn, "read");
                 }
                 from.asked += 1;
-                self.asked.push_back(Asked { conn, session, body, read, late: self.late });
+                self.asked.push_back(Asked { conn, session, body, read, late: self.late, reply });
                 return;
             }
             Body::Release { .. } => {
@@ -110,15 +118,16 @@
                 };
                 if let Some(place) = self.asked.iter().position(asked) {
                     // Cancelled before anything was decided: no answer is owed.
-                    self.asked.remove(place);
                     from.asked = from.asked.saturating_sub(1);
+                    let reply = self.asked.remove(place).and_then(|asked| asked.reply);
+                    reply.into_iter().for_each(|reply| reply.client_gone(Departure::Cancelled));
                     return;
                 }
                 let id = self.by_session.get(&session).copied();
                 let held = id.and_then(|id| Some((id, self.held.get(&id)?)));
                 match held.map(|(id, held)| (id, held.playing.is_some(), held.conn == conn)) {
                     Some((id, true, _)) => self.viewer_ends(now, id),
-                    Some((id, false, true)) => self.given_up(now, id),
+                    Some((id, false, true)) => self.given_up(now, id, Departure::Cancelled),
                     // Another connection's set-up is not theirs to give up.
                     Some(_) => {}
                     // It may be handed over yet, on another connection.
@@ -136,15 +145,18 @@
 
     /// Decides the first of what viewers asked for; false where nothing waits.
     pub fn decide(&mut self, now: Point) -> bool {
-        let Some(Asked { conn, session, body, read, late }) = self.asked.pop_front() else { return false };
+        let Some(Asked { conn, session, body, read, late, reply }) = self.asked.pop_front() else {
+            return false;
+        };
         if let Some(from) = self.conns.get_mut(&conn) {
             from.asked = from.asked.saturating_sub(1);
         }
-        match body {
-            Body::SetUp(set_up) => self.set_up(now, conn, session, set_up, (read, late)),
-            Body::Unusable(why) => {
+        match (body, reply) {
+            (Body::SetUp(set_up), Some(reply)) => self.set_up(now, reply, set_up, (read, late)),
+            (Body::SetUp(set_up), None) => self.hand_over(now, (conn, session), set_up, (read, late)),
+            (Body::Unusable(why), Some(reply)) => {
                 tracing::info!(target: "viewers", why, "a set-up that can't be used");
-                self.refuse(now, conn, session);
+                self.refuse(now, reply);
             }
             _ => {}
         }
@@ -152,13 +164,17 @@
         true
     }
 
+    /// Says what only this connection may carry, and what is no answer.
     pub(super) fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.answer(conn, session, body, None);
+        let message = Message { session, body };
+        self.effects.push(Effect::Say { conn, message, stood: false, reply: None, steps: None });
     }
 
-    /// The final answer of a request, or anything else that only this connection may carry.
-    pub(super) fn answer(&mut self, conn: u64, session: u64, body: Body, steps: Option<Box<Steps>>) {
-        self.effects.push(Effect::Say { conn, message: Message { session, body }, stood: false, steps });
+    /// Gives a request its final answer.
+    pub(super) fn answer(&mut self, reply: PendingReply, body: Body, steps: Option<Box<Steps>>) {
+        reply.hand();
+        let (conn, message) = (reply.conn(), Message { session: reply.session(), body });
+        self.effects.push(Effect::Say { conn, message, stood: false, reply: Some(reply), steps });
     }
 
     /// The steps of a request that ends now, if anybody reads them.
@@ -187,14 +203,16 @@
         self.over.push_back((session, how));
     }
 
-    /// A set-up that can't be taken. Under the number of one that is open on the same connection no answer can
+    /// A set-up that can't be taken. Under the number of one that is in hand on the same connection no answer can
     /// be told from the other's: the connection ends.
-    pub(super) fn refuse(&mut self, now: Point, conn: u64, session: u64) {
+    pub(super) fn refuse(&mut self, now: Point, reply: PendingReply) {
+        let (conn, session) = (reply.conn(), reply.session());
         let other = self.by_session.get(&session).and_then(|id| self.held.get(id));
         if other.is_some_and(|held| held.conn == conn) {
+            reply.client_gone(Departure::NumberReused);
             return self.part(now, conn);
         }
-        self.say(conn, session, Body::release(cause::UNUSABLE));
+        self.answer(reply, Body::release(cause::UNUSABLE), None);
     }
 
     /// Remembers a number that was turned away on a connection.
@@ -224,102 +242,107 @@
         }
     }
 
-    /// `read` is when it was read, with how long it may have waited unread: its time runs from then.
-    fn set_up(&mut self, now: Point, conn: u64, session: u64, set_up: SetUp, read: (Point, Span)) {
-        tracing::debug!(target: "decision", session = format!("{session:016x}"), conn, ?set_up);
-        let why = if session == 0 { Some("no id") } else { self.wrong(&set_up) };
-        let plays_at = set_up.plays_at().cloned();
-        if let Some(why) = why {
-            tracing::info!(target: "viewers", why, "a set-up that can't be used");
-            if plays_at.is_none() {
-                self.refuse(now, conn, session);
-            }
-            return;
-        }
+    /// What the module is asked for with a set-up. `read` is when it was read, with how long it may have waited unread:
+    /// its time runs from then.
+    fn wish<'a>(&self, id: u32, set_up: &'a SetUp, read: (Point, Span)) -> Wish<'a> {
         let figures = set_up.figures.clone().unwrap_or_default();
         let lane = self.terms.lanes.iter().find(|(name, _)| *name == set_up.lane);
         // The viewer's word counts up to the lane's cut-off: a time far ahead would be kept for ever.
         let wait = Span::of((set_up.wait_ms as f64 / 1e3).min(lane.map_or(0.0, |lane| lane.1.seconds())));
-        let (title, tenant, lane) = (set_up.title.clone(), set_up.tenant.clone(), set_up.lane.clone());
-        self.next_id = self.next_id.wrapping_add(1);
-        let id = self.next_id;
-        let wish = Wish {
+        Wish {
             id,
-            lane: &lane,
-            tenant: &tenant,
-            title: &title,
+            lane: &set_up.lane,
+            tenant: &set_up.tenant,
+            title: &set_up.title,
             cut_off: (read.0 + wait) - ANSWER_MARGIN - read.1,
             home: figures.home,
             copies: figures.copies,
             top: figures.top,
             returned: figures.again,
             length: None,
-        };
-        let until = wish.cut_off;
-        let held = |handle, at: Rc<str>, playing| Held {
-            session,
-            handle,
-            conn,
-            set_up,
-            at,
-            until,
-            rung: 0,
-            shots: 0,
-            read: read.0,
-            decided: None,
-            begun: None,
-            attempt: None,
-            attempted_at: Vec::new(),
-            playing,
-            carrier: None,
-        };
-        if let Some(at) = plays_at {
-            // It may name what is in hand already.
-            if self.by_session.contains_key(&session) {
-                return;
-            }
-            // Its end may have been heard before it.
-            let over = self.over.iter().rev().find(|(of, _)| *of == session).map(|(_, how)| *how);
-            match over {
-                Some(Over::AtStreamer(cause::CANCELLED)) => return,
-                Some(Over::AtStreamer(why)) => {
-                    let why = if why == cause::NORMAL { why } else { cause::BROKEN };
-                    return self.release(now, conn, session, why);
-                }
-                Some(Over::ByViewer) => return self.end_at(now, &at.as_str().into(), session),
-                None => {}
+        }
+    }
+
+    fn next_id(&mut self) -> u32 {
+        self.next_id = self.next_id.wrapping_add(1);
+        self.next_id
+    }
+
+    /// What is wrong with a set-up, its number included; it is logged.
+    fn why_unusable(&self, (conn, session): (u64, u64), set_up: &SetUp) -> Option<&'static str> {
+        tracing::debug!(target: "decision", session = format!("{session:016x}"), conn, ?set_up);
+        let why = if session == 0 { Some("no id") } else { self.wrong(set_up) };
+        if let Some(why) = why {
+            tracing::info!(target: "viewers", why, "a set-up that can't be used");
+        }
+        why
+    }
+
+    /// Takes over a session that plays already. What can't be used is passed over: nobody waits for an answer.
+    fn hand_over(&mut self, now: Point, of: (u64, u64), mut set_up: SetUp, read: (Point, Span)) {
+        let (conn, session) = of;
+        let Some(at) = set_up.plays_at().cloned() else { return };
+        // It may name what is in hand already.
+        if self.why_unusable(of, &set_up).is_some() || self.by_session.contains_key(&session) {
+            return;
+        }
+        // Its end may have been heard before it.
+        let over = self.over.iter().rev().find(|(of, _)| *of == session).map(|(_, how)| *how);
+        match over {
+            Some(Over::AtStreamer(cause::CANCELLED)) => return,
+            Some(Over::AtStreamer(why)) => {
+                let why = if why == cause::NORMAL { why } else { cause::BROKEN };
+                return self.release(now, conn, session, why);
             }
-            let Some((at, _)) = self.known.get_key_value(&*at) else {
-                return self.release(now, conn, session, cause::BROKEN);
-            };
-            let at = at.clone();
-            let handle = self.module.inherit(now, &wish, &at);
-            let mut held = held(handle, at, Some(now));
-            held.set_up.description = Bytes::new();
-            self.held.insert(id, held);
-            self.by_session.insert(session, id);
-            return self.carry_out(now);
+            Some(Over::ByViewer) => return self.end_at(now, &at.as_str().into(), session),
+            None => {}
         }
+        let Some((at, _)) = self.known.get_key_value(&*at) else {
+            return self.release(now, conn, session, cause::BROKEN);
+        };
+        let at = at.clone();
+        let id = self.next_id();
+        let wish = self.wish(id, &set_up, read);
+        let until = wish.cut_off;
+        let handle = self.module.inherit(now, &wish, &at);
+        set_up.description = Bytes::new();
+        let held = Held::new((conn, session), handle, None, set_up, (read.0, until));
+        self.held.insert(id, Held { at, playing: Some(now), ..held });
+        self.by_session.insert(session, id);
+        self.carry_out(now);
+    }
+
+    /// Takes a request.
+    fn set_up(&mut self, now: Point, reply: PendingReply, set_up: SetUp, read: (Point, Span)) {
+        let (conn, session) = (reply.conn(), reply.session());
         // An attempt under this number may be out: nobody could tell two apart.
-        if self.by_session.contains_key(&session) || self.is_unproven(session) {
-            return self.refuse(now, conn, session);
+        if self.why_unusable((conn, session), &set_up).is_some()
+            || self.by_session.contains_key(&session)
+            || self.is_unproven(session)
+        {
+            return self.refuse(now, reply);
         }
         let from = self.conns.get(&conn);
         if from.is_some_and(|from| from.turned_away.contains(&session)) {
-            self.refuse(now, conn, session);
+            self.refuse(now, reply);
             if self.conns.get(&conn).is_some_and(Conn::is_idle) {
                 self.part(now, conn);
             }
             return;
         }
-        let crowded = from.is_none_or(|from| from.open >= OPEN_MOST);
+        let crowded = from.is_none_or(|from| from.open >= OPEN_MOST || from.is_draining);
         let late = self.stops.is_some_and(|since| now - since > LAST_CALL);
         if late || crowded || self.held.len() >= self.terms.held_most {
             self.turn_away(conn, session);
-            return self.say(conn, session, turned_back(self.module.come_again()));
+            return self.answer(reply, turned_back(self.module.come_again()), None);
         }
+        let id = self.next_id();
+        let wish = self.wish(id, &set_up, read);
+        let until = wish.cut_off;
+        reply.set_due(until + ANSWER_GRACE);
         let handle = self.module.take(now, &wish);
-        self.held.insert(id, held(handle, "".into(), None));
+        let held = Held::new((conn, session), handle, Some(reply), set_up, (read.0, until));
+        self.held.insert(id, held);
         self.by_session.insert(session, id);
         if let Some(conn) = self.conns.get_mut(&conn) {
             conn.open += 1;
@@ -328,8 +351,9 @@
     }
 
     /// A viewer stops waiting: no answer is owed, and what is out is given up.
-    pub(super) fn given_up(&mut self, now: Point, id: u32) {
+    pub(super) fn given_up(&mut self, now: Point, id: u32, why: Departure) {
         let Some(mut held) = self.remove(now, id) else { return };
+        held.reply.take().into_iter().for_each(|reply| reply.client_gone(why));
         if let Some(steps) = Self::steps(&held, Outcome::ViewerLeft, now) {
             steps.log(None);
         }
@@ -357,7 +381,7 @@
             Some(conn) => {
                 tracing::debug!(target: "viewers", session = format!("{session:016x}"), conn, why, "release");
                 let message = Message { session, body: Body::release(why) };
-                self.effects.push(Effect::Say { conn, message, stood: true, steps: None });
+                self.effects.push(Effect::Say { conn, message, stood: true, reply: None, steps: None });
             }
             None if self.owed.len() < OWED_MOST => {
                 self.owed.push_back((now + OWED_FOR, Message { session, body: Body::release(why) }));
--- a/crates/lemontide-platform/src/outbox.rs
+++ b/crates/lemontide-platform/src/outbox.rs
@@ -1,7 +1,8 @@
-//! What is to be said on one viewers' connection, and which releases its client may not have read. That a release was
+//! What is to be said on one viewers' connection, and what of it its client may not have read. That a message was
 //! written to a socket proves nothing: a client that closes meanwhile never reads it.
 
 use crate::codec::Codec;
+use crate::replies::PendingReply;
 use crate::viewers::Said;
 use futures::SinkExt;
 use lemontide::clock::Point;
@@ -15,18 +16,20 @@
 
 /// A client that lives reads within this time.
 const READ_WITHIN: Duration = Duration::from_millis(250);
-/// Releases that are remembered after they were written, at most.
+/// Messages that are remembered after they were written, at most.
 const WRITTEN_MOST: usize = 1024;
 
-/// The messages of one connection, in order: those that wait, those that are being written, and the releases that were
-/// written lately.
+/// The messages of one connection, in order: those that wait, those that are being written, and those written lately
+/// that must not be lost: releases, and answers once the client has closed its half.
 pub(crate) struct Outbox {
     clock: Clock,
     socket: FramedWrite<OwnedWriteHalf, Codec>,
     waiting: VecDeque<Said>,
-    /// Releases that are not known to be written as a whole.
+    /// What is not known to be written as a whole.
     writing: Vec<Said>,
     written: VecDeque<(Instant, Said)>,
+    /// The client has closed its half, and may have closed the other too.
+    is_half_closed: bool,
 }
 
 impl Outbox {
@@ -37,6 +40,7 @@
             waiting: VecDeque::new(),
             writing: Vec::new(),
             written: VecDeque::new(),
+            is_half_closed: false,
         }
     }
 
@@ -44,28 +48,41 @@
         self.waiting.push_back(said);
     }
 
-    /// Writes all that waits.
+    /// The client has closed its half: what is written from now on may not be read.
+    pub(crate) fn half_closed(&mut self) {
+        self.is_half_closed = true;
+    }
+
+    /// Whether all was written.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.writing.is_empty()
+    }
+
+    /// Writes all that waits. It may be dropped at any await, and goes on where it was with the next call.
     pub(crate) async fn write_all(&mut self) -> io::Result<()> {
-        let mut answered = Vec::new();
         while let Some(said) = self.waiting.front() {
             self.socket.feed(said.message.clone()).await?;
-            let Some(mut said) = self.waiting.pop_front() else { break };
-            answered.extend(said.steps.take());
-            if said.stood {
-                self.writing.push(said);
-            }
+            let Some(said) = self.waiting.pop_front() else { break };
+            self.writing.push(said);
         }
         self.socket.flush().await?;
-        let written = Point::at(self.clock.now());
-        answered.iter().for_each(|steps| steps.log(Some(written)));
         self.remember_written();
         Ok(())
     }
 
+    /// The socket has taken all: requests are answered, and what must not be lost is remembered.
     fn remember_written(&mut self) {
         let now = Instant::now();
+        let written = Point::at(self.clock.now());
         self.forget_read(now);
-        for said in self.writing.drain(..) {
+        for mut said in self.writing.drain(..) {
+            said.steps.take().into_iter().for_each(|steps| steps.log(Some(written)));
+            let is_answer = said.reply.is_some();
+            said.reply.take().into_iter().for_each(PendingReply::answered);
+            let must_be_read = said.stood || is_answer && self.is_half_closed;
+            if !must_be_read {
+                continue;
+            }
             if self.written.len() >= WRITTEN_MOST {
                 self.written.pop_front();
             }
@@ -80,19 +97,19 @@
         }
     }
 
-    /// Takes what was not written, and releases that were not written as a whole.
+    /// Takes what was not written, or not as a whole.
     pub(crate) fn take_unsaid(&mut self) -> Vec<Said> {
         let mut unsaid = std::mem::take(&mut self.writing);
         unsaid.extend(self.waiting.drain(..));
         unsaid
     }
 
-    /// Whether a release was written so lately that the client may not have read it.
+    /// Whether something was written so lately that the client may not have read it, and must not be lost.
     pub(crate) fn has_maybe_unread(&self) -> bool {
         self.written.back().is_some_and(|(at, _)| at.elapsed() <= READ_WITHIN)
     }
 
-    /// Takes the releases that were written so lately that the client may not have read them.
+    /// Takes what was written so lately that the client may not have read it, and must not be lost.
     pub(crate) fn take_maybe_unread(&mut self) -> Vec<Said> {
         self.forget_read(Instant::now());
         self.written.drain(..).map(|(_, said)| said).collect()
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -3,6 +3,7 @@
 
 use crate::config::{Config, Environment, Hosts};
 use crate::dispatcher::{Dispatcher, Effect, Order, Terms};
+use crate::replies::Departure;
 use crate::streamers::Close;
 use crate::viewers::{Said, Word};
 use crate::{journal, streamers, viewers};
@@ -119,8 +120,8 @@
         while !dispatcher.effects.is_empty() {
             for effect in std::mem::take(&mut dispatcher.effects) {
                 match effect {
-                    Effect::Say { conn, message, stood, steps } => {
-                        let said = Box::new(Said { message, stood, steps });
+                    Effect::Say { conn, message, stood, reply, steps } => {
+                        let said = Box::new(Said { message, stood, reply, steps });
                         let (full, said) = match self.viewers.get(&conn) {
                             None => (false, said),
                             Some(words) => match words.try_send(Word::Say(said)) {
@@ -137,7 +138,8 @@
                             // It does not read what is said to it.
                             self.viewers.remove(&conn);
                         }
-                        dispatcher.viewer_gone(now, conn);
+                        let why = if full { Departure::NotReading } else { Departure::Closed };
+                        dispatcher.viewer_gone(now, conn, why);
                         dispatcher.unsaid(now, vec![*said]);
                     }
                     Effect::Retire { conn, heard } => {
@@ -147,7 +149,9 @@
                         }
                     }
                     Effect::Part { conn } => {
-                        self.viewers.remove(&conn);
+                        if let Some(words) = self.viewers.get(&conn) {
+                            let _ = words.try_send(Word::Drain);
+                        }
                     }
                     Effect::Dial { on, address } => self.dial(on, address),
                     Effect::Write { on, orders } => {
@@ -176,10 +180,11 @@
 
     fn of_viewer(&mut self, now: Point, dispatcher: &mut Dispatcher, report: viewers::Report) {
         match report {
-            viewers::Report::Said { conn, message, read } => dispatcher.viewer_said(now, conn, message, read),
-            viewers::Report::Gone { conn, unsaid } => {
+            viewers::Report::Said(heard) => dispatcher.viewer_said(now, *heard),
+            viewers::Report::InputOver { conn, why } => dispatcher.input_over(now, conn, why),
+            viewers::Report::Gone { conn, why, unsaid } => {
                 self.viewers.remove(&conn);
-                dispatcher.viewer_gone(now, conn);
+                dispatcher.viewer_gone(now, conn, why);
                 dispatcher.unsaid(now, unsaid);
             }
             viewers::Report::Unread { unread } => dispatcher.unsaid(now, unread),
@@ -190,7 +195,23 @@
         let (words, said) = mpsc::channel(SAY_MOST);
         self.viewers.insert(conn, words);
         dispatcher.viewer_up(now, conn);
-        self.writing.spawn(viewers::run(self.clock, conn, socket, said, self.from_viewers.clone()));
+        let (reports, replies) = (self.from_viewers.clone(), dispatcher.replies().clone());
+        self.writing.spawn(viewers::run(self.clock, conn, socket, said, reports, replies));
+    }
+
+    /// Closes every viewers' connection, with an answer to each request that was read on it by then.
+    async fn drain(&mut self, dispatcher: &mut Dispatcher, reports: &mut mpsc::Receiver<viewers::Report>) {
+        for words in self.viewers.values() {
+            let _ = words.try_send(Word::Drain);
+        }
+        while !self.viewers.is_empty() {
+            let Some(report) = reports.recv().await else { break };
+            let now = Point::at(self.clock.now());
+            self.of_viewer(now, dispatcher, report);
+            while dispatcher.decide(now) {}
+            self.carry_out(now, dispatcher);
+        }
+        while self.writing.join_next().await.is_some() {}
     }
 
     fn of_streamer(&mut self, now: Point, dispatcher: &mut Dispatcher, report: streamers::Report) {
@@ -261,7 +282,8 @@
         if let Some(since) = stops {
             let gone = now() - since;
             let said = empty.is_some_and(|since| now() - since >= LAST_WORDS);
-            if gone >= STOP_LEAST && said || gone >= stop_most && dispatcher.open() == 0 {
+            let owes_nothing = dispatcher.replies().open() == 0;
+            if owes_nothing && (gone >= STOP_LEAST && said || gone >= stop_most) {
                 break;
             }
         }
@@ -369,9 +391,8 @@
         }
     }
     journal.abort();
-    // Every connection says what it has still to say, and closes.
-    sockets.viewers.clear();
-    let all_said = async { while sockets.writing.join_next().await.is_some() {} };
-    let _ = tokio::time::timeout(viewers::WRITE_TIMEOUT, all_said).await;
+    drop(listener);
+    let _ =
+        tokio::time::timeout(viewers::WRITE_TIMEOUT, sockets.drain(&mut dispatcher, &mut viewers_said)).await;
     Ok(())
 }
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -1,15 +1,18 @@
 //! Viewers' connections: reads what comes, writes what the dispatcher says, ends what can't be read. Nothing is decided
-//! here but whether a connection is still idle in the moment in which it would be closed.
+//! here but whether a connection is still idle in the moment in which it would be closed. A connection on which an
+//! answer is owed is not closed from this side: where its input ends, it drains first.
 
-use crate::codec::Message;
+use crate::codec::{Body, Message};
+use crate::dispatcher::InputEnd;
 use crate::outbox::Outbox;
 use crate::reader::Reader;
+use crate::replies::{Departure, Heard, PendingReply, Replies};
 use crate::steps::Steps;
 use futures::FutureExt;
 use lemontide::clock::Point;
 use lemontide_wire::clock::Clock;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -26,27 +29,37 @@
 const LINGER: Duration = Duration::from_millis(50);
 /// A reset for what was written to a connection that the other end had closed comes within this time.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
+/// While a connection drains it is looked this often whether its client has reset it or is owed nothing more.
+const LOOK_WHILE_DRAINING: Duration = Duration::from_millis(5);
 
 /// What a viewers' connection reports.
 pub enum Report {
-    Said {
+    Said(Box<Heard>),
+    /// Nothing more is read on it; what is owed on it can still be said.
+    InputOver {
         conn: u64,
-        message: Message,
-        /// When its last byte was read.
-        read: Point,
+        why: InputEnd,
+    },
+    /// It is over; what was to be said on it and was not, and why its client is gone where something was still owed.
+    Gone {
+        conn: u64,
+        why: Departure,
+        unsaid: Vec<Said>,
     },
-    /// It is over; what was to be said on it and was not.
-    Gone { conn: u64, unsaid: Vec<Said> },
     /// What was said on a connection that is over, and not read by its client.
-    Unread { unread: Vec<Said> },
+    Unread {
+        unread: Vec<Said>,
+    },
 }
 
 /// A message to a viewer; with `stood` it ends what stood, and may be said on any other connection as well.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub struct Said {
     pub message: Message,
     pub stood: bool,
-    /// Of the request that it answers, where they are logged.
+    /// Of the request that it answers, if it answers one.
+    pub reply: Option<PendingReply>,
+    /// The steps of that request, where they are logged.
     pub steps: Option<Box<Steps>>,
 }
 
@@ -57,92 +70,198 @@
     Retire {
         heard: u64,
     },
+    /// Read nothing more, and close once nothing is owed.
+    Drain,
 }
 
 /// How a connection came to its end.
+#[derive(Clone, Copy)]
 enum End {
-    /// The other end is gone, or can't be understood or reached; whether it reset the connection.
-    Theirs { is_reset: bool },
-    /// This end is done with it.
+    /// The other end is gone, or can't be reached.
+    Theirs { is_reset: bool, why: Departure },
+    /// Nothing more is read on it.
+    Input(InputEnd),
+    /// This end is done with it, and nothing on it is owed an answer.
     Ours,
 }
 
-/// Runs one connection until either end is done with it; it closes when `words` does.
-pub async fn run(
-    clock: Clock,
+impl End {
+    const RESET: End = End::Theirs { is_reset: true, why: Departure::Closed };
+}
+
+/// One connection: what it may still say, and the answers that are owed on it.
+struct Connection {
     conn: u64,
-    socket: TcpStream,
-    mut words: mpsc::Receiver<Word>,
-    reports: mpsc::Sender<Report>,
-) {
-    // Answers are small and urgent.
-    let _ = socket.set_nodelay(true);
-    let (read, write) = socket.into_split();
-    let mut outbox = Outbox::new(clock, write);
-    let mut frames = Reader::new(read, WHOLE_WITHIN);
-    let (retire, retire_at) = (Notify::new(), AtomicU64::new(u64::MAX));
-    let writer = async {
-        while let Some(word) = words.recv().await {
-            let mut next = Some(word);
-            while let Some(word) = next {
-                match word {
-                    Word::Say(said) => outbox.push(*said),
-                    Word::Retire { heard } => {
-                        retire_at.store(heard, Ordering::Release);
-                        retire.notify_one();
-                    }
+    outbox: Outbox,
+    words: mpsc::Receiver<Word>,
+    replies: Replies,
+}
+
+/// What the dispatcher asks the reading side of a connection, through its writing side.
+#[derive(Default)]
+struct Wishes {
+    changed: Notify,
+    drains: AtomicBool,
+    /// It is to close, where so many messages came on it.
+    retires_at: AtomicU64,
+}
+
+impl Connection {
+    fn owes_nothing(&self) -> bool {
+        self.replies.open_on(self.conn) == 0
+    }
+
+    /// Puts a word and all that came after it where they belong.
+    fn take_words(&mut self, first: Word, wishes: &Wishes) {
+        let mut next = Some(first);
+        while let Some(word) = next {
+            match word {
+                Word::Say(said) => self.outbox.push(*said),
+                Word::Retire { heard } => {
+                    // Counted from 1, as 0 is none.
+                    wishes.retires_at.store(heard + 1, Ordering::Release);
+                    wishes.changed.notify_one();
+                }
+                Word::Drain => {
+                    wishes.drains.store(true, Ordering::Release);
+                    wishes.changed.notify_one();
                 }
-                next = words.try_recv().ok();
             }
-            match timeout(WRITE_TIMEOUT, outbox.write_all()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return End::Theirs { is_reset: true },
-                Err(_) => return End::Theirs { is_reset: false },
+            next = self.words.try_recv().ok();
+        }
+    }
+
+    /// Writes all that waits; the end of the connection where that fails.
+    async fn write(&mut self) -> Result<(), End> {
+        match timeout(WRITE_TIMEOUT, self.outbox.write_all()).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(End::RESET),
+            Err(_) => Err(End::Theirs { is_reset: false, why: Departure::NotReading }),
+        }
+    }
+
+    /// Writes what the dispatcher says until it says no more.
+    async fn write_words(&mut self, wishes: &Wishes) -> End {
+        while let Some(word) = self.words.recv().await {
+            self.take_words(word, wishes);
+            if let Err(end) = self.write().await {
+                return end;
             }
         }
         End::Ours
-    };
-    let reader = async {
-        let mut due = Some(Instant::now() + WHOLE_WITHIN);
-        let mut said = 0;
+    }
+
+    /// Says what is owed on a connection on which nothing more is read, until nothing is or its client is proven gone. Of
+    /// one that was closed by the other end it is not known whether by half: a message that means nothing is
+    /// answered with a reset where it was closed whole.
+    async fn drain(&mut self, why: InputEnd, wishes: &Wishes) -> End {
+        if why == InputEnd::HalfClosed {
+            self.outbox.half_closed();
+            let probe = Message { session: 0, body: Body::Progress };
+            self.outbox.push(Said { message: probe, stood: false, reply: None, steps: None });
+        }
         loop {
-            let next = tokio::select! {
-                biased;
-                next = frames.next(due) => next,
-                () = retire.notified() => {
-                    if retire_at.load(Ordering::Acquire) != said {
-                        continue;
-                    }
-                    // What the socket holds by now is seen after one turn of the runtime.
-                    tokio::task::yield_now().await;
-                    match frames.next(due).now_or_never() {
-                        Some(next) => next,
-                        None if frames.is_unfinished() => continue,
-                        None => return End::Ours,
-                    }
+            if let Err(end) = self.write().await {
+                return end;
+            }
+            if self.outbox.is_reset() {
+                return End::RESET;
+            }
+            if self.owes_nothing() && self.outbox.is_empty() {
+                return End::Ours;
+            }
+            match timeout(LOOK_WHILE_DRAINING, self.words.recv()).await {
+                Ok(Some(word)) => self.take_words(word, wishes),
+                Ok(None) => return End::Ours,
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+/// Reads what a client says, and reports it, until nothing more is to be read.
+async fn read_all(
+    clock: Clock,
+    conn: u64,
+    replies: &Replies,
+    frames: &mut Reader,
+    wishes: &Wishes,
+    reports: &mpsc::Sender<Report>,
+) -> End {
+    let mut due = Some(Instant::now() + WHOLE_WITHIN);
+    let mut said = 0;
+    loop {
+        let next = tokio::select! {
+            biased;
+            next = frames.next(due) => next,
+            () = wishes.changed.notified() => {
+                if wishes.drains.load(Ordering::Acquire) {
+                    return End::Input(InputEnd::Unusable);
+                }
+                if wishes.retires_at.load(Ordering::Acquire) != said + 1 || replies.open_on(conn) > 0 {
+                    continue;
                 }
-            };
-            match next {
-                Ok(message) => {
-                    due = None;
-                    said += 1;
-                    let read = Point::at(clock.now());
-                    if reports.send(Report::Said { conn, message, read }).await.is_err() {
-                        return End::Ours;
-                    }
+                // What the socket holds by now is seen after one turn of the runtime.
+                tokio::task::yield_now().await;
+                match frames.next(due).now_or_never() {
+                    Some(next) => next,
+                    None if frames.is_unfinished() => continue,
+                    None => return End::Ours,
                 }
-                Err(e) => {
-                    tracing::debug!(target: "viewers", conn, error = %e, "connection over");
-                    let is_reset = e.kind() == io::ErrorKind::ConnectionReset;
-                    return if frames.is_over() { End::Theirs { is_reset } } else { End::Ours };
+            }
+        };
+        match next {
+            Ok(message) => {
+                due = None;
+                said += 1;
+                let heard = replies.take(conn, message, Point::at(clock.now()));
+                if reports.send(Report::Said(Box::new(heard))).await.is_err() {
+                    return End::Ours;
                 }
             }
+            Err(e) => {
+                tracing::debug!(target: "viewers", conn, error = %e, owed = replies.open_on(conn), "input over");
+                return match e.kind() {
+                    io::ErrorKind::UnexpectedEof => End::Input(InputEnd::HalfClosed),
+                    _ if frames.is_over() => End::RESET,
+                    _ => End::Input(InputEnd::Unusable),
+                };
+            }
         }
+    }
+}
+
+/// Runs one connection until either end is done with it; it closes when `words` does.
+pub async fn run(
+    clock: Clock,
+    conn: u64,
+    socket: TcpStream,
+    words: mpsc::Receiver<Word>,
+    reports: mpsc::Sender<Report>,
+    replies: Replies,
+) {
+    // Answers are small and urgent.
+    let _ = socket.set_nodelay(true);
+    let (read, write) = socket.into_split();
+    let mut connection =
+        Connection { conn, outbox: Outbox::new(clock, write), words, replies: replies.clone() };
+    let mut frames = Reader::new(read, WHOLE_WITHIN);
+    let wishes = Wishes::default();
+    let mut end = tokio::select! {
+        end = connection.write_words(&wishes) => end,
+        end = read_all(clock, conn, &replies, &mut frames, &wishes, &reports) => end,
     };
-    let end = tokio::select! {
-        end = writer => end,
-        end = reader => end,
-    };
+    if let End::Input(why) = end {
+        end = match (connection.owes_nothing(), why) {
+            (false, _) => {
+                let _ = reports.send(Report::InputOver { conn, why }).await;
+                connection.drain(why, &wishes).await
+            }
+            (true, InputEnd::HalfClosed) => End::Theirs { is_reset: false, why: Departure::Closed },
+            (true, InputEnd::Unusable) => End::Ours,
+        };
+    }
+    let Connection { mut outbox, mut words, .. } = connection;
     words.close();
     while let Ok(word) = words.try_recv() {
         if let Word::Say(said) = word {
@@ -153,10 +272,11 @@
         let _ = timeout(LINGER, outbox.write_all()).await;
         let _ = timeout(LINGER, outbox.socket().shutdown()).await;
     }
-    let _ = reports.send(Report::Gone { conn, unsaid: outbox.take_unsaid() }).await;
+    let why = if let End::Theirs { why, .. } = end { why } else { Departure::Closed };
+    let _ = reports.send(Report::Gone { conn, why, unsaid: outbox.take_unsaid() }).await;
     let is_reset = match end {
-        End::Ours => matches!(timeout(LINGER, frames.discard(usize::MAX)).await, Ok(Err(_))),
-        End::Theirs { is_reset } => is_reset || is_reset_later(&outbox).await,
+        End::Theirs { is_reset, .. } => is_reset || is_reset_later(&outbox).await,
+        End::Ours | End::Input(_) => matches!(timeout(LINGER, frames.discard(usize::MAX)).await, Ok(Err(_))),
     };
     let unread = outbox.take_maybe_unread();
     if is_reset && !unread.is_empty() {
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use lemontide_platform::config::{Entry, Hosts};
 use lemontide_platform::dispatcher::{Dispatcher, Effect, Loss, Order};
 use lemontide_platform::permit::Permit;
+use lemontide_platform::replies::PendingReply;
 use lemontide_platform::serve;
 use serde_json::{json, Value as Json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -148,11 +149,17 @@
     }
 
     pub fn say(&mut self, conn: u64, session: u64, body: Body) {
-        self.dispatcher.viewer_said(self.now, conn, Message { session, body }, self.now);
+        self.hears(conn, Message { session, body }, self.now);
         while self.dispatcher.decide(self.now) {}
         self.perform();
     }
 
+    /// The dispatcher hears what was read on a connection.
+    pub fn hears(&mut self, conn: u64, message: Message, read: Point) {
+        let heard = self.dispatcher.replies().take(conn, message, read);
+        self.dispatcher.viewer_said(self.now, heard);
+    }
+
     /// A subscription that plays, and the link that it was set up on.
     pub fn playing(&mut self, lane: &str) -> (u64, u64) {
         let session = self.ask(lane);
@@ -275,7 +282,10 @@
         while !self.dispatcher.effects.is_empty() {
             for effect in std::mem::take(&mut self.dispatcher.effects) {
                 match effect {
-                    Effect::Say { conn, message, .. } => self.said.push((conn, message)),
+                    Effect::Say { conn, message, reply, .. } => {
+                        reply.into_iter().for_each(PendingReply::answered);
+                        self.said.push((conn, message));
+                    }
                     Effect::Part { conn } => self.parted.push(conn),
                     Effect::Retire { conn, heard } => self.retired.push((conn, heard)),
                     Effect::Dial { on, address } => {
--- a/crates/lemontide-platform/tests/crossings.rs
+++ b/crates/lemontide-platform/tests/crossings.rs
@@ -7,6 +7,7 @@
 use lemontide_platform::codec::{cause, Body, Message, Note, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::dispatcher::Loss;
+use lemontide_platform::replies::Departure;
 
 /// All of the session's set-ups and releases as they were written: true for a set-up.
 fn order_of(world: &World, session: u64) -> Vec<bool> {
@@ -40,7 +41,7 @@
         let session = world.ask("paid");
         assert!(!world.batches.is_empty(), "it waits to be written");
         match closes {
-            true => world.dispatcher.viewer_gone(world.now, VIEWERS),
+            true => world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed),
             false => world.say(VIEWERS, session, Body::release(cause::NORMAL)),
         }
         world.perform();
@@ -305,15 +306,10 @@
         let mut world = World::new();
         let (asks, session) = (Body::SetUp(wish("free")), 0xabc);
         let message = |body| Message { session, body };
-        world.dispatcher.viewer_said(world.now, VIEWERS, message(asks), world.now);
+        world.hears(VIEWERS, message(asks), world.now);
         match closes {
-            true => world.dispatcher.viewer_gone(world.now, VIEWERS),
-            false => world.dispatcher.viewer_said(
-                world.now,
-                VIEWERS,
-                message(Body::release(cause::NORMAL)),
-                world.now,
-            ),
+            true => world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed),
+            false => world.hears(VIEWERS, message(Body::release(cause::NORMAL)), world.now),
         }
         assert!(!world.dispatcher.decide(world.now), "nothing is left to decide");
         world.perform();
@@ -327,7 +323,7 @@
     let mut world = World::new();
     let (read, session) = (world.now, 0xabc);
     let message = Message { session, body: Body::SetUp(wish("paid")) };
-    world.dispatcher.viewer_said(read, VIEWERS, message, read);
+    world.hears(VIEWERS, message, read);
     // It waits two of its three seconds for a decision.
     world.now = world.now + lemontide::clock::Span::of(2.0);
     assert!(world.dispatcher.decide(world.now));
@@ -345,12 +341,12 @@
     let (in_hand, open) = (world.dispatcher.in_hand(), world.dispatcher.open());
     assert_eq!(world.dispatcher.spare(), Some(VIEWERS), "nothing is open on it");
     let message = |body| Message { session: 0xabc, body };
-    world.dispatcher.viewer_said(world.now, VIEWERS, message(Body::SetUp(wish("free"))), world.now);
+    world.hears(VIEWERS, message(Body::SetUp(wish("free"))), world.now);
     assert_eq!((world.dispatcher.in_hand(), world.dispatcher.open()), (in_hand + 1, open + 1));
     world.dispatcher.make_room();
     world.perform();
     assert!(world.dispatcher.spare().is_none() && world.retired.is_empty(), "it is not idle");
-    world.dispatcher.viewer_said(world.now, VIEWERS, message(Body::release(cause::NORMAL)), world.now);
+    world.hears(VIEWERS, message(Body::release(cause::NORMAL)), world.now);
     assert_eq!((world.dispatcher.in_hand(), world.dispatcher.spare()), (in_hand, Some(VIEWERS)));
 }
 
--- a/crates/lemontide-platform/tests/dispatcher.rs
+++ b/crates/lemontide-platform/tests/dispatcher.rs
@@ -7,6 +7,7 @@
 use lemontide_platform::codec::{cause, Body, SetUp};
 use lemontide_platform::config::Hosts;
 use lemontide_platform::dispatcher::Loss;
+use lemontide_platform::replies::Departure;
 use proptest::prelude::*;
 use serde_json::{json, Value as Json};
 
@@ -78,7 +79,7 @@
     world.answer(session);
     assert!(world.heard(session).is_empty());
     let gone = world.ask("paid");
-    world.dispatcher.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed);
     world.perform();
     assert_eq!((world.released(gone), world.dispatcher.in_hand()), (1, 0));
 }
@@ -89,7 +90,7 @@
     let mut world = World::new();
     let (session, link) = world.playing("paid");
     world.loses(link, Loss::Broke);
-    world.dispatcher.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed);
     world.pass(3.0);
     assert_eq!(world.dispatcher.in_hand(), 1);
     world.dispatcher.viewer_up(world.now, 2);
@@ -156,7 +157,7 @@
 fn a_release_that_no_connection_takes_waits_for_one() {
     let mut world = World::new();
     let (session, link) = world.playing("free");
-    world.dispatcher.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed);
     world.tell_on(link, session, Body::release(cause::BROKEN));
     assert_eq!(world.heard(session).len(), 1);
     world.pass(1.0);
@@ -376,7 +377,7 @@
 #[test]
 fn thousands_of_lives_leave_the_tables_empty() {
     let mut world = World::new();
-    world.dispatcher.viewer_gone(world.now, VIEWERS);
+    world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed);
     for life in 0..3000u64 {
         let conn = 1000 + life;
         world.dispatcher.viewer_up(world.now, conn);
@@ -400,7 +401,7 @@
             world.learn(&Hosts { full: false, servers: vec![old, new] });
             world.pass(0.1);
         }
-        world.dispatcher.viewer_gone(world.now, conn);
+        world.dispatcher.viewer_gone(world.now, conn, Departure::Closed);
         world.perform();
     }
     for link in world.dials.clone().into_keys() {
--- a/crates/lemontide-platform/tests/settings.rs
+++ b/crates/lemontide-platform/tests/settings.rs
@@ -34,7 +34,9 @@
     for session in 1..100 {
         now = now + Span::of_millis(50);
         let lane = if session % 2 == 0 { "free" } else { "paid" };
-        dispatcher.viewer_said(now, 1, Message { session, body: Body::SetUp(wish(lane)) }, now);
+        let message = Message { session, body: Body::SetUp(wish(lane)) };
+        let heard = dispatcher.replies().take(1, message, now);
+        dispatcher.viewer_said(now, heard);
         assert!(dispatcher.decide(now));
         while !dispatcher.effects.is_empty() {
             for effect in std::mem::take(&mut dispatcher.effects) {
--- a/crates/lemontide-platform/tests/unread.rs
+++ b/crates/lemontide-platform/tests/unread.rs
@@ -1,6 +1,7 @@
 //! What a viewers' connection hands back where its client closes without reading it.
 
 use lemontide_platform::codec::{cause, Body, Message};
+use lemontide_platform::replies::Replies;
 use lemontide_platform::viewers::{run, Report, Said, Word};
 use lemontide_wire::clock::Clock;
 use std::time::Duration;
@@ -18,7 +19,12 @@
 }
 
 fn release(session: u64) -> Said {
-    Said { message: Message { session, body: Body::release(cause::NORMAL) }, stood: true, steps: None }
+    Said {
+        message: Message { session, body: Body::release(cause::NORMAL) },
+        stood: true,
+        reply: None,
+        steps: None,
+    }
 }
 
 /// All sessions whose releases come back until the connection is over.
@@ -26,7 +32,7 @@
     let mut back = Vec::new();
     while let Some(report) = reports.recv().await {
         match report {
-            Report::Said { .. } => {}
+            Report::Said(_) | Report::InputOver { .. } => {}
             Report::Gone { unsaid, .. } => back.extend(unsaid.iter().map(|said| said.message.session)),
             Report::Unread { unread } => back.extend(unread.iter().map(|said| said.message.session)),
         }
@@ -42,7 +48,7 @@
         let (reports, reported) = mpsc::channel(4);
         drop(theirs);
         words.send(Word::Say(Box::new(release(session)))).await.expect("it takes it");
-        tokio::spawn(run(Clock::start(), 1, ours, said, reports));
+        tokio::spawn(run(Clock::start(), 1, ours, said, reports, Replies::default()));
         assert_eq!(handed_back(reported).await, [session]);
     }
 }
@@ -54,7 +60,7 @@
         let (ours, mut theirs) = connected().await;
         let (words, said) = mpsc::channel(4);
         let (reports, reported) = mpsc::channel(4);
-        tokio::spawn(run(Clock::start(), 1, ours, said, reports));
+        tokio::spawn(run(Clock::start(), 1, ours, said, reports, Replies::default()));
         words.send(Word::Say(Box::new(release(session)))).await.expect("it takes it");
         let mut heard = [0; 64];
         let read = tokio::time::timeout(Duration::from_secs(1), theirs.read(&mut heard)).await;
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -111,6 +111,15 @@
         }
     }
 
+    /// The subscription gets no other shot: it has its final answer at once where none is out, else when that one ends.
+    pub fn conclude(self, on: &mut Controller, now: Point) {
+        let Some(held) = self.find(on) else { return };
+        held.cut_off = held.cut_off.min(now);
+        if held.state == State::Waiting {
+            on.give_up(self.place);
+        }
+    }
+
     /// The viewer left; a shot that is still out keeps its place until it ends.
     pub fn left(self, on: &mut Controller) {
         let Some(held) = self.find(on) else { return };
