Soak: viewers that end as answered, half closes, resets, noise, signals in series, zones, tenants, dozens of nodes

Need: the soak played no client that closes by half, resets, or spoils a connection that carries requests, no viewer that ends a session as its answer comes, at most four nodes, one zone and one tenant.

--- a/crates/lemontide-cli/tests/soak.rs
+++ b/crates/lemontide-cli/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::Command;
 
-/// First seed and count of each part; together they take about a minute and a half.
-const PARTS: [(u64, u64); 3] = [(1, 16), (120, 2), (204, 2)];
+/// First seed and count of each part; together they take about two minutes.
+const PARTS: [(u64, u64); 4] = [(1, 16), (120, 2), (204, 2), (9001, 4)];
 /// Seeds that are played at the same time at first.
 const JOBS: u64 = 4;
 /// Exit codes of `lemontide soak`: nothing broken, and not judged, as this machine was late.
--- a/crates/lemontide-standin/src/soak/client.rs
+++ b/crates/lemontide-standin/src/soak/client.rs
@@ -7,7 +7,7 @@
 
 use super::node::{Node, Status};
 use super::plan::{draw, Plan};
-use super::record::{Answer, ClientConnection, Record, Request, CLASSES};
+use super::record::{Answer, BadClient, ClientConnection, Record, Request, CLASSES};
 use crate::platform::bytes_of;
 use bytes::{Bytes, BytesMut};
 use lemontide_platform::codec::{cause, Body, Codec, Figures, Message, SetUp};
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, sleep_until, timeout};
 use tokio_util::codec::Decoder;
 
@@ -27,6 +27,8 @@
 const CROSSES_WITHIN: f64 = 0.05;
 /// A request is unanswered for good so long after its time, in seconds.
 const GIVES_UP_AFTER: f64 = 1.0;
+/// What no message begins with.
+const NOISE: [u8; 8] = [0; 8];
 /// The longest that a slow writer takes for one message, in seconds.
 const SLOW_WRITE: f64 = 0.15;
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
@@ -40,6 +42,8 @@
     /// No request is begun after this moment, in seconds.
     pub last_request: f64,
     pub until: f64,
+    /// Requests that each client has sent at once, or is to.
+    pub rush: watch::Sender<usize>,
 }
 
 /// Something that is written by the writer of a connection.
@@ -48,13 +52,32 @@
     /// It is the set-up of this request; slowly, where `pauses` is above 0 seconds.
     request: Option<Request>,
     pauses: f64,
+    /// The client closes its half behind it.
+    closes_half: bool,
 }
 
-fn set_up(plan: &Plan, class: &str, wait_ms: u64, title: u64) -> SetUp {
+impl Write {
+    fn of(bytes: Vec<u8>) -> Write {
+        Write { bytes, request: None, pauses: 0.0, closes_half: false }
+    }
+}
+
+/// What a client does to its own connection behind a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Misuse {
+    ClosesHalf,
+    Resets,
+    SendsNoise,
+}
+
+/// Titles that are asked for.
+const TITLES: u64 = 8;
+
+fn set_up(plan: &Plan, class: &str, wait_ms: u64, id: u64) -> SetUp {
     SetUp {
         lane: class.into(),
-        tenant: "acme".into(),
-        title: format!("t{title}"),
+        tenant: plan.tenant(id),
+        title: format!("t{}", id % TITLES),
         wait_ms,
         figures: Some(Figures { home: 0, copies: plan.servers, top: 1, again: false, at: None }),
         description: Bytes::from_static(b"asked"),
@@ -65,7 +88,7 @@
 /// The message that asks for a session, or hands it over where `at` names its server.
 pub fn hand_over(plan: &Plan, request: &Request, at: &str) -> Message {
     let wait = (request.class.deadline * 1e3) as u64;
-    let mut set_up = set_up(plan, request.class.name, wait, request.id % 8);
+    let mut set_up = set_up(plan, request.class.name, wait, request.id);
     if let Some(figures) = &mut set_up.figures {
         figures.at = Some(at.to_owned());
     }
@@ -86,7 +109,7 @@
             continue;
         };
         let _ = socket.set_nodelay(true);
-        let (read, write) = socket.into_split();
+        let (mut read, write) = socket.into_split();
         let (writes, written) = mpsc::unbounded_channel();
         connections += 1;
         let mut connection = Connection {
@@ -97,18 +120,43 @@
             writes,
             open: BTreeSet::new(),
             is_first: true,
+            sends_no_more: false,
+            resets: false,
+            noise: None,
         };
         for request in std::mem::take(&mut crossed) {
             connection.send_again(request);
         }
         let record = world.record.clone();
         let write = tokio::spawn(write_all(record, write, written));
-        crossed = connection.attend(read).await;
+        crossed = connection.attend(&mut read).await;
+        connection.tell_noise();
+        if connection.resets {
+            let _ = read.as_ref().set_zero_linger();
+        }
         drop(connection);
         write.abort();
     }
 }
 
+/// What a client does behind a request, by a number from 0 to 1.
+fn misuse(plan: &Plan, drawn: f64) -> Option<Misuse> {
+    let odds = &plan.odds;
+    let all = [
+        (odds.half_closes, Misuse::ClosesHalf),
+        (odds.resets, Misuse::Resets),
+        (odds.spoils_own, Misuse::SendsNoise),
+    ];
+    let mut rest = drawn;
+    for (chance, misuse) in all {
+        if rest < chance {
+            return Some(misuse);
+        }
+        rest -= chance;
+    }
+    None
+}
+
 fn may_connect(world: &World) -> bool {
     match *world.node.status.borrow() {
         Status::Up => true,
@@ -122,7 +170,7 @@
     mut socket: OwnedWriteHalf,
     mut writes: mpsc::UnboundedReceiver<Write>,
 ) {
-    while let Some(Write { bytes, request, pauses }) = writes.recv().await {
+    while let Some(Write { bytes, request, pauses, closes_half }) = writes.recv().await {
         let pieces = if pauses > 0.0 { 3 } else { 1 };
         let mut is_written = true;
         for piece in bytes.chunks(bytes.len().div_ceil(pieces).max(1)) {
@@ -140,6 +188,10 @@
                 request.sent = request.sent.min(now);
             }
         }
+        if closes_half {
+            let _ = socket.shutdown().await;
+            return;
+        }
     }
 }
 
@@ -152,15 +204,23 @@
     /// Requests that wait for an answer here.
     open: BTreeSet<u64>,
     is_first: bool,
+    /// It has closed its half, or sent what can't be read: nothing it sends now would be taken.
+    sends_no_more: bool,
+    /// It ends with a reset.
+    resets: bool,
+    /// When it sent what can't be read.
+    noise: Option<f64>,
 }
 
 impl Connection<'_> {
     /// Sends and reads until the connection is over; the requests that crossed its close.
-    async fn attend(&mut self, mut socket: OwnedReadHalf) -> Vec<Request> {
+    async fn attend(&mut self, socket: &mut OwnedReadHalf) -> Vec<Request> {
         let mut bytes = BytesMut::new();
         let mut status = self.world.node.status.subscribe();
         let mut next = self.world.record.now() + 0.05 * draw(self.world.plan.seed, self.slot, 1);
         let mut cancels: Vec<(f64, u64)> = Vec::new();
+        let mut rush = self.world.rush.subscribe();
+        let mut rushed = *rush.borrow_and_update();
         loop {
             let now = self.world.record.now();
             if now >= self.world.until || *status.borrow_and_update() == Status::Down {
@@ -181,6 +241,14 @@
                     }
                 }
                 _ = status.changed() => {}
+                _ = rush.changed() => {
+                    let requests = *rush.borrow_and_update();
+                    (rushed..requests).for_each(|_| cancels.extend(self.send()));
+                    rushed = requests;
+                    if self.resets {
+                        return Vec::new();
+                    }
+                }
                 () = sleep_until(self.world.record.instant(due)) => {
                     if let Some(place) = cancels.iter().position(|(at, _)| *at <= due) {
                         if self.leave(cancels.swap_remove(place).1) {
@@ -188,6 +256,9 @@
                         }
                     } else {
                         cancels.extend(self.send());
+                        if self.resets {
+                            return Vec::new();
+                        }
                         let gap = 2.0 * draw(self.world.plan.seed, self.slot * 977 + 5, *self.number);
                         next = due + gap / self.rate();
                     }
@@ -204,7 +275,7 @@
     /// Sends the next request; when its client leaves, if it does.
     fn send(&mut self) -> Option<(f64, u64)> {
         let now = self.world.record.now();
-        if now >= self.world.last_request {
+        if now >= self.world.last_request || self.sends_no_more {
             return None;
         }
         *self.number += 1;
@@ -216,7 +287,7 @@
         let class = CLASSES[usize::from(draw(1) < 0.6)];
         let is_short = draw(2) < 0.03;
         let wait = if is_short { 0.05 + 0.3 * draw(3) } else { class.deadline };
-        let set_up = set_up(plan, class.name, (wait * 1e3) as u64, id % 8);
+        let set_up = set_up(plan, class.name, (wait * 1e3) as u64, id);
         let request = Request {
             id,
             class,
@@ -239,16 +310,67 @@
         drop(book);
         let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
         let pauses = if draw(4) < plan.odds.slow_writer { SLOW_WRITE * draw(5) } else { 0.0 };
-        let _ = self.writes.send(Write { bytes, request: Some(request), pauses });
+        let misuse = misuse(plan, draw(8));
+        let closes_half = misuse == Some(Misuse::ClosesHalf);
+        let _ = self.writes.send(Write { bytes, request: Some(request), pauses, closes_half });
         self.open.insert(id);
+        if let Some(misuse) = misuse {
+            self.misuse(misuse);
+            return None;
+        }
         (draw(6) < plan.odds.leaves).then(|| (now + pauses + 1.2 * draw(7) * draw(7), id))
     }
 
+    /// Does this to the own connection, behind the last request.
+    fn misuse(&mut self, misuse: Misuse) {
+        self.sends_no_more = true;
+        match misuse {
+            Misuse::ClosesHalf => {}
+            Misuse::SendsNoise => {
+                self.noise = Some(self.world.record.now());
+                let _ = self.writes.send(Write::of(NOISE.to_vec()));
+            }
+            Misuse::Resets => {
+                self.resets = true;
+                self.leave_all();
+            }
+        }
+    }
+
+    /// Records whether the node closed the connection on which it was sent what can't be read.
+    fn tell_noise(&mut self) {
+        let Some(sent) = self.noise else { return };
+        let (record, node) = (&self.world.record, self.world.node.at);
+        let now = record.now();
+        let mut book = record.book();
+        let client = BadClient {
+            node,
+            what: "noise behind a request",
+            connected: sent,
+            heard: Some(now),
+            was_served: false,
+            is_void: book.has_gone(node, sent),
+        };
+        book.bad_clients.push(client);
+    }
+
+    /// The client closes its connection: it waits for nothing on it any more.
+    fn leave_all(&self) {
+        let now = self.world.record.now();
+        let mut book = self.world.record.book();
+        for id in &self.open {
+            if let Some(request) = book.request(*id) {
+                request.left = Some(now);
+            }
+        }
+        book.client_closes.push((now, self.key));
+    }
+
     /// A request that crossed a close is sent once more, as it was.
     fn send_again(&mut self, request: Request) {
         let id = request.id;
         let wait = (request.wait * 1e3) as u64;
-        let set_up = set_up(&self.world.plan, request.class.name, wait, id % 8);
+        let set_up = set_up(&self.world.plan, request.class.name, wait, id);
         if let Some(again) = self.world.record.book().request(id) {
             again.is_sent_again = true;
             again.connection = self.key;
@@ -256,7 +378,7 @@
             again.is_first = std::mem::take(&mut self.is_first);
         }
         let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
-        let _ = self.writes.send(Write { bytes, request: Some(request), pauses: 0.0 });
+        let _ = self.writes.send(Write { request: Some(request), ..Write::of(bytes) });
         self.open.insert(id);
     }
 
@@ -266,14 +388,13 @@
         let mut book = self.world.record.book();
         let is_open = self.open.contains(&id);
         if is_open && draw(self.world.plan.seed, id, 0x1eaf) < 0.4 {
-            for id in &self.open {
-                if let Some(request) = book.request(*id) {
-                    request.left = Some(now);
-                }
-            }
-            book.client_closes.push((now, self.key));
+            drop(book);
+            self.leave_all();
             return true;
         }
+        if self.sends_no_more {
+            return false;
+        }
         let Some(request) = book.request(id) else { return false };
         if is_open {
             request.left = Some(now);
@@ -283,7 +404,7 @@
         }
         drop(book);
         let bytes = bytes_of(Message { session: id, body: Body::release(cause::NORMAL) });
-        let _ = self.writes.send(Write { bytes, request: None, pauses: 0.0 });
+        let _ = self.writes.send(Write::of(bytes));
         false
     }
 
@@ -323,7 +444,8 @@
         let mut book = self.world.record.book();
         for id in &self.open {
             let Some(request) = book.request(*id) else { continue };
-            if now - request.sent <= CROSSES_WITHIN && !request.is_sent_again {
+            let crosses = now - request.sent <= CROSSES_WITHIN && !self.sends_no_more;
+            if crosses && !request.is_sent_again {
                 crossed.push(request.clone());
             } else {
                 request.closed = Some(now);
--- a/crates/lemontide-standin/src/soak/client/bad.rs
+++ b/crates/lemontide-standin/src/soak/client/bad.rs
@@ -1,6 +1,5 @@
 //! Clients that send what can't be used, that repeat a number, or that say nothing at all.
 
-use super::super::record::{BadClient, Signal};
 use super::*;
 
 /// A bad client is owed a word within this time, in seconds; it waits somewhat longer.
@@ -61,10 +60,7 @@
         client.was_served = matches!(answer, Ok(Some(Message { body: Body::Answer { .. }, .. })));
     }
     let mut book = world.record.book();
-    let went = book.next_signal(world.node.at, connected, |signal| {
-        matches!(signal, Signal::Kill | Signal::Terminate | Signal::Exited { .. })
-    });
-    client.is_void |= went.is_some();
+    client.is_void |= book.has_gone(world.node.at, connected);
     book.bad_clients.push(client);
 }
 
@@ -121,7 +117,7 @@
         book.by_id.insert(id, at);
         book.requests.push(request);
     }
-    let set_up = set_up(&world.plan, class.name, (class.deadline * 1e3) as u64, id % 8);
+    let set_up = set_up(&world.plan, class.name, (class.deadline * 1e3) as u64, id);
     let bytes = bytes_of(Message { session: id, body: Body::SetUp(set_up) });
     for time in 0..3 {
         let Ok(Ok(mut socket)) = timeout(CONNECT_WITHIN, TcpStream::connect(world.node.listen)).await else {
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -142,7 +142,7 @@
         let node = |at: usize| {
             let listen = address(at, 1, port + CLIENTS_PORT);
             let discovery = discoveries[at].clone();
-            Node::new(at, listen, program, folder, record.clone(), discovery, settings.clone())
+            Node::new(&plan, (at, listen), (program, folder), (record.clone(), discovery), settings.clone())
         };
         let nodes: Vec<_> = (0..plan.nodes).map(node).collect();
         let world = |node: &Arc<Node>| {
@@ -152,6 +152,7 @@
                 node: node.clone(),
                 last_request: plan.seconds - QUIET_END,
                 until: plan.seconds + WAIT_AFTER,
+                rush: tokio::sync::watch::channel(0).0,
             })
         };
         let worlds = nodes.iter().map(world).collect();
@@ -182,7 +183,7 @@
             ListState::Gone => "terminated",
         };
         let started_ms = if state == ListState::Ready && !is_start { unix_ms } else { 0 };
-        json!({"id": name, "addr": address, "zone": "a", "kind": "std", "cell": server, "state": state_name,
+        json!({"id": name, "addr": address, "zone": self.plan.zone(server), "kind": "std", "cell": server, "state": state_name,
             "weight": 1, "started_ms": started_ms})
     }
 }
@@ -221,12 +222,32 @@
             Ok(())
         }
         Event::Reconfigure { node, times } => cluster.nodes[node].reconfigure(times).await,
+        Event::ZoneCut { zone, seconds } => {
+            cut_zone(&cluster, zone, seconds).await;
+            Ok(())
+        }
+        Event::Rush { requests } => {
+            cluster.worlds.iter().for_each(|world| world.rush.send_modify(|rush| *rush += requests));
+            Ok(())
+        }
     };
     if let Err(e) = done {
         tracing::error!(target: "soak", error = %e, at, "a step of the script failed");
     }
 }
 
+/// Nothing passes to or from the servers of a zone for a while, but for those that have another trouble.
+async fn cut_zone(cluster: &Cluster, zone: usize, seconds: f64) {
+    let in_zone = |server: &&Arc<Server>| cluster.plan.zone(server.at()) == cluster.plan.zone(zone);
+    let cut: Vec<&Arc<Server>> =
+        cluster.servers.iter().filter(in_zone).filter(|server| server.mode() == Mode::Normal).collect();
+    cut.iter().for_each(|server| server.set_mode(Mode::Silent));
+    sleep(Duration::from_secs_f64(seconds)).await;
+    for server in cut.into_iter().filter(|server| server.mode() == Mode::Silent) {
+        server.set_mode(Mode::Normal);
+    }
+}
+
 /// Hands what stands over to a node that was started again.
 async fn restarted(
     cluster: &Cluster,
--- a/crates/lemontide-standin/src/soak/node.rs
+++ b/crates/lemontide-standin/src/soak/node.rs
@@ -25,6 +25,12 @@
 const KILL_AFTER: f64 = 3.7;
 /// From SIGKILL to the next start, in seconds.
 const START_AFTER: f64 = 0.3;
+/// Requests a second of one tenant over all nodes that count as within its share.
+const TENANT_QUOTA_PER_S: f64 = 30.0;
+/// More signals follow SIGTERM, so long after each other, in series.
+const SERIES: [UnixSignal; 4] =
+    [UnixSignal::SIGHUP, UnixSignal::SIGTERM, UnixSignal::SIGHUP, UnixSignal::SIGTERM];
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(150);
 /// How often a process is looked at, and how long it may take to be ready.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -48,6 +54,8 @@
     record: Arc<Record>,
     discovery: Arc<Discovery>,
     settings: Json,
+    zone: String,
+    signals_in_series: bool,
     child: Mutex<Option<Child>>,
     starts: std::sync::atomic::AtomicU64,
 }
@@ -70,6 +78,11 @@
     settings["peers_total"] = json!(plan.nodes);
     settings["family_info"]["positions"] = json!(plan.servers);
     settings["policy_limits"]["try_limit"] = json!(5);
+    settings["areas"] = json!((0..plan.zones).map(|zone| plan.zone(zone)).collect::<Vec<_>>());
+    let share = 1.0 / plan.tenants as f64;
+    let tenant =
+        |at: usize| json!({"name": format!("t{at}"), "share": share, "quota_per_s": TENANT_QUOTA_PER_S});
+    settings["tenants"] = json!((0..plan.tenants).map(tenant).collect::<Vec<_>>());
     settings
 }
 
@@ -82,21 +95,28 @@
 }
 
 impl Node {
-    #[allow(clippy::too_many_arguments)] // what a node is made of
+    /// A node that is not started yet; its files lie in the folder.
     pub fn new(
-        at: usize,
-        listen: SocketAddr,
-        program: &Path,
-        folder: &Path,
-        record: Arc<Record>,
-        discovery: Arc<Discovery>,
+        plan: &Plan,
+        (at, listen): (usize, SocketAddr),
+        (program, folder): (&Path, &Path),
+        (record, discovery): (Arc<Record>, Arc<Discovery>),
         settings: Json,
     ) -> Arc<Node> {
-        let status = watch::channel(Status::Down).0;
-        let (program, folder) = (program.to_owned(), folder.to_owned());
-        let child = Mutex::new(None);
-        let starts = Default::default();
-        Arc::new(Node { at, listen, status, program, folder, record, discovery, settings, child, starts })
+        Arc::new(Node {
+            at,
+            listen,
+            status: watch::channel(Status::Down).0,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            record,
+            discovery,
+            settings,
+            zone: plan.zone(at),
+            signals_in_series: plan.signals_in_series,
+            child: Mutex::new(None),
+            starts: Default::default(),
+        })
     }
 
     fn config_file(&self) -> PathBuf {
@@ -112,6 +132,7 @@
         let start = self.starts.load(std::sync::atomic::Ordering::Relaxed);
         let mut settings = self.settings.clone();
         settings["me"] = json!(self.at);
+        settings["zone"] = json!(self.zone);
         let (position, known) = self.discovery.known();
         let config = json!({
             "name": format!("n{}", self.at), "listen": self.listen, "seed": format!("{:x}", start * 64 + self.at as u64),
@@ -179,6 +200,10 @@
         self.record.signal(self.at, Signal::Terminate);
         self.status.send_replace(Status::Terminating(now));
         self.signal(UnixSignal::SIGTERM).await;
+        for signal in SERIES.into_iter().filter(|_| self.signals_in_series) {
+            sleep(BETWEEN_SIGNALS).await;
+            self.signal(signal).await;
+        }
         tokio::time::sleep_until(self.record.instant(now + KILL_AFTER)).await;
         self.kill_and_start().await
     }
--- a/crates/lemontide-standin/src/soak/plan.rs
+++ b/crates/lemontide-standin/src/soak/plan.rs
@@ -8,6 +8,13 @@
 const QUIET_END: f64 = 4.0;
 /// Sessions that a small server holds.
 const PLACES: std::ops::RangeInclusive<usize> = 20..=200;
+/// A large run: the part of the seeds, its nodes, and clients' connections to each and requests a second on each.
+const LARGE_PART: f64 = 0.12;
+const LARGE_NODES: std::ops::RangeInclusive<usize> = 12..=32;
+const LARGE_CONNECTIONS: usize = 3;
+const LARGE_REQUESTS_PER_S: f64 = 1.0;
+/// Requests that each client sends at once in a rush.
+const RUSH: std::ops::RangeInclusive<usize> = 5..=20;
 
 /// How a server treats what comes to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +63,15 @@
         node: usize,
         times: usize,
     },
+    /// Nothing passes to or from the servers of a zone for a while.
+    ZoneCut {
+        zone: usize,
+        seconds: f64,
+    },
+    /// Every client of every node sends so many requests at once.
+    Rush {
+        requests: usize,
+    },
 }
 
 /// Chances of what happens to one set-up or connection.
@@ -78,6 +94,12 @@
     /// Of a request: its client cancels or closes early, or writes slowly.
     pub leaves: f64,
     pub slow_writer: f64,
+    /// Of a request: behind it its client closes its half of the connection, resets it, or sends what can't be read.
+    pub half_closes: f64,
+    pub resets: f64,
+    pub spoils_own: f64,
+    /// Of a session: its viewer ends it as the answer comes, on a clock.
+    pub ends_as_answered: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -98,6 +120,11 @@
     pub idle_connections: usize,
     /// Sessions that a server holds at most, where servers are small; it refuses more.
     pub places: Option<usize>,
+    /// Zones of servers and nodes, and tenants of requests.
+    pub zones: usize,
+    pub tenants: usize,
+    /// A stopping node gets more signals than the one.
+    pub signals_in_series: bool,
     pub odds: Odds,
     /// By time, in seconds since the start.
     pub events: Vec<(f64, Event)>,
@@ -121,15 +148,63 @@
             repeaters: chance.random_bool(0.4),
             idle_connections: if chance.random_bool(0.2) { 400 } else { 0 },
             places: None,
+            zones: 1,
+            tenants: 1,
+            signals_in_series: false,
             odds: odds(&mut chance),
             events: Vec::new(),
         };
+        // Drawn apart, so that what a seed played before is still in it.
+        let mut further = StdRng::seed_from_u64(seed.wrapping_mul(0xd134_2543_de82_ef95) ^ 0x6d6f_7265);
+        if further.random_bool(LARGE_PART) {
+            plan.nodes = further.random_range(LARGE_NODES);
+            (plan.connections, plan.requests_per_s) = (LARGE_CONNECTIONS, LARGE_REQUESTS_PER_S);
+            plan.idle_connections = 0;
+        }
         plan.draw_events(&mut chance);
         plan.places = chance.random_bool(0.4).then(|| chance.random_range(PLACES));
+        plan.draw_further(&mut further);
         plan.events.sort_by(|a, b| a.0.total_cmp(&b.0));
         plan
     }
 
+    /// Zones, tenants, a rush, signals in series, and what clients do to their own connections.
+    fn draw_further(&mut self, chance: &mut StdRng) {
+        let last = self.seconds - QUIET_END;
+        self.zones = chance.random_range(1..=3).min(self.servers);
+        self.tenants = chance.random_range(1..=3);
+        self.signals_in_series = chance.random_bool(0.4);
+        if self.zones > 1 && chance.random_bool(0.4) {
+            let (zone, seconds) = (chance.random_range(0..self.zones), chance.random_range(0.3..4.0));
+            self.events.push((chance.random_range(QUIET_START..last), Event::ZoneCut { zone, seconds }));
+        }
+        if chance.random_bool(0.3) {
+            let requests = chance.random_range(RUSH);
+            self.events.push((chance.random_range(QUIET_START..last), Event::Rush { requests }));
+        }
+        let mut of = |share: f64, most: f64| {
+            if chance.random_bool(share) {
+                chance.random_range(0.2 * most..most)
+            } else {
+                0.0
+            }
+        };
+        self.odds.half_closes = of(0.5, 0.08);
+        self.odds.resets = of(0.4, 0.05);
+        self.odds.spoils_own = of(0.5, 0.05);
+        self.odds.ends_as_answered = of(0.6, 0.3);
+    }
+
+    /// The zone of a server or a node.
+    pub fn zone(&self, at: usize) -> String {
+        format!("z{}", at % self.zones)
+    }
+
+    /// The tenant of a request.
+    pub fn tenant(&self, id: u64) -> String {
+        format!("t{}", (id >> 8) % self.tenants as u64)
+    }
+
     fn draw_events(&mut self, chance: &mut StdRng) {
         let last = self.seconds - QUIET_END;
         let time = |chance: &mut StdRng| chance.random_range(QUIET_START..last);
@@ -215,6 +290,7 @@
         pieces: of(0.5, 0.5),
         leaves: of(0.6, 0.2),
         slow_writer: of(0.5, 0.1),
+        ..Odds::default()
     }
 }
 
--- a/crates/lemontide-standin/src/soak/record.rs
+++ b/crates/lemontide-standin/src/soak/record.rs
@@ -212,6 +212,12 @@
         self.signals.iter().rev().find(of).map(|(at, ..)| *at)
     }
 
+    /// Whether a node was told to go, or went, after a moment.
+    pub fn has_gone(&self, node: usize, after: f64) -> bool {
+        let goes = |signal| matches!(signal, Signal::Kill | Signal::Terminate | Signal::Exited { .. });
+        self.next_signal(node, after, goes).is_some()
+    }
+
     /// The first such signal after a moment.
     pub fn next_signal(&self, node: usize, after: f64, which: impl Fn(Signal) -> bool) -> Option<f64> {
         let of = |(at, of, signal): &&(f64, usize, Signal)| *of == node && *at >= after && which(*signal);
--- a/crates/lemontide-standin/src/soak/server.rs
+++ b/crates/lemontide-standin/src/soak/server.rs
@@ -23,6 +23,9 @@
 /// What was written so long before the end of a connection may not have been read: a reset overtakes it, and a node may
 /// have closed the connection, or given it up as unreadable, before; in seconds.
 const OVERTAKEN: f64 = 0.8;
+/// Viewers look at what they get on a clock of their own, every so often, in seconds, and tell within so long of the answer.
+const VIEWERS_LOOK_EVERY: f64 = 0.25;
+const VIEWERS_LEAVE_WITHIN: f64 = 0.001;
 /// How long an attempt takes before its answer, in seconds: from and to.
 const WORK: (f64, f64) = (0.005, 0.06);
 /// How long a session stands, in seconds: from and to.
@@ -36,6 +39,8 @@
     AnswerLate,
     /// The session stands, and its answer is lost on the way.
     LoseAnswer,
+    /// The session stands, and its viewer ends it within the same moment of its clock.
+    AnswerAndLeave,
     NeverAnswer,
     Spoil,
     Release(u8),
@@ -132,6 +137,14 @@
         server
     }
 
+    pub fn at(&self) -> usize {
+        self.at
+    }
+
+    pub fn mode(&self) -> Mode {
+        self.state().mode
+    }
+
     pub fn address(&self, node: usize) -> SocketAddr {
         self.addresses[node]
     }
@@ -268,6 +281,13 @@
         }
     }
 
+    /// Waits for the moment in which viewers look, as the run's clock has it.
+    async fn until_viewers_look(&self) {
+        let phase = VIEWERS_LOOK_EVERY * draw(self.plan.seed, 0x0c10, 0);
+        let looks = ((self.record.now() - phase) / VIEWERS_LOOK_EVERY).ceil();
+        tokio::time::sleep_until(self.record.instant(phase + looks * VIEWERS_LOOK_EVERY)).await;
+    }
+
     fn has_session(&self, attempt: usize) -> bool {
         self.state().sessions.iter().any(|session| session.attempt == attempt)
     }
@@ -293,6 +313,7 @@
             (odds.twice, Treatment::AnswerTwice),
             (odds.reset_under, Treatment::Reset),
             (odds.close_under, Treatment::Close),
+            (odds.ends_as_answered, Treatment::AnswerAndLeave),
         ];
         for (chance, treatment) in all {
             if rest < chance {
@@ -320,6 +341,9 @@
         work = set_up.wait_ms as f64 / 1e3 + 0.2 * draw(1);
     }
     sleep(Duration::from_secs_f64(work)).await;
+    if treatment == Treatment::AnswerAndLeave {
+        server.until_viewers_look().await;
+    }
     server.passes().await;
     if server.state().mode == Mode::Hangs {
         return;
@@ -359,6 +383,12 @@
                 let _ = link.out.send(Out::Close { reset });
             }
         }
+        Treatment::AnswerAndLeave => {
+            if stand(&server, node, connection, id, attempt, treatment) {
+                sleep(Duration::from_secs_f64(VIEWERS_LEAVE_WITHIN * draw(3))).await;
+                viewer_leaves(&server, id, attempt);
+            }
+        }
         Treatment::Answer | Treatment::AnswerTwice | Treatment::AnswerLate | Treatment::LoseAnswer => {
             if stand(&server, node, connection, id, attempt, treatment) {
                 sleep(Duration::from_secs_f64(STANDS.0 + (STANDS.1 - STANDS.0) * draw(3))).await;
@@ -406,6 +436,18 @@
     })
 }
 
+/// The viewer of a session ends it there. Its client is owed the answer all the same, and no release.
+fn viewer_leaves(server: &Server, id: u64, attempt: usize) {
+    let Some(session) = server.forget(attempt) else { return };
+    server.end(attempt, AttemptEnd::Stood);
+    let now = server.record.now();
+    if let Some(request) = server.record.book().request(id) {
+        request.over.get_or_insert(now);
+    }
+    let left = Message { session: id, body: Body::release(cause::CANCELLED) };
+    server.say(&server.state(), session.node, session.connection, left, Mark::Nothing);
+}
+
 /// What stood has come to its end.
 fn end_of_play(server: &Server, attempt: usize) {
     let Some(session) = server.forget(attempt) else { return };
