front: a player that closed its half is answered, and an answer is a duty until its socket has it

Callers saw: a player that closes its half after its wish got no answer, and its attempt was cancelled.

Change: while an answer is owed the end of input is kept from the HTTP stack. An interim response (102), which means nothing, shows by its reset whether the player has closed its connection whole. The duty travels with the response and ends as the socket has taken it; dropped before, the deciding thread is told that the player left, also where its queue is full.

--- a/crates/lemontide-front/src/connections.rs
+++ b/crates/lemontide-front/src/connections.rs
@@ -2,6 +2,7 @@
 //! is turned back before the HTTP stack reads it. What is decided stands in `lemontide-shed` and in `core`.
 
 use crate::core::{Doorway, Pass};
+use crate::delivery::Undelivered;
 use crate::guard::Guard;
 use axum::body::Body;
 use axum::extract::Request;
@@ -32,6 +33,10 @@
 const HEAD_MOST: usize = 16 * 1024;
 /// Bytes that are read at once before there is an HTTP stack.
 const FIRST_MOST: usize = 2048;
+/// A player that has closed its half may still wait for an answer. What it is sent then means nothing to it, and is answered
+/// with a reset where it has closed its connection whole, which is looked for so often.
+const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+const LOOK_WHILE_HALF_CLOSED: Duration = Duration::from_millis(5);
 /// An idle connection's age is told to the hall at most this often while its wishes are turned back.
 const TOLD_EVERY: Duration = Duration::from_millis(200);
 
@@ -98,6 +103,8 @@
     hall: Arc<Hall>,
     state: AtomicU8,
     let_in: Mutex<Option<Hint>>,
+    /// The answer that the socket is to take next.
+    undelivered: Mutex<Option<Undelivered>>,
 }
 
 impl Drop for Visit {
@@ -136,8 +143,13 @@
             }
         };
         let _ = socket.set_nodelay(true);
-        let visit =
-            Arc::new(Visit { id, hall: hall.clone(), state: AtomicU8::new(COMES), let_in: Mutex::new(None) });
+        let visit = Arc::new(Visit {
+            id,
+            hall: hall.clone(),
+            state: AtomicU8::new(COMES),
+            let_in: Mutex::default(),
+            undelivered: Mutex::default(),
+        });
         // The lock is held over the start, so that a task that ends at once still finds its entry to remove.
         let mut tasks = lock(&hall.tasks);
         let task = tokio::spawn(serve(socket, routes.clone(), stack, visit, guard.clone()));
@@ -162,7 +174,8 @@
         let call = inner.call(request.map(Body::new) as Request);
         let seen = seen.clone();
         async move {
-            let response = call.await?;
+            let mut response = call.await?;
+            *lock(&seen.undelivered) = response.extensions_mut().remove::<Undelivered>();
             // The end of a body of unknown length can't be told from here: such a connection stays as it is.
             let sized = response.body().size_hint().exact().is_some();
             seen.state.store(if sized { ANSWERED } else { STREAMS }, Ordering::Relaxed);
@@ -179,6 +192,7 @@
         told: Instant::now(),
         reads: Box::pin(tokio::time::sleep(stack.request)),
         writes: None,
+        half_closed: None,
         stack,
         visit,
     };
@@ -229,6 +243,8 @@
     told: Instant,
     reads: Pin<Box<Sleep>>,
     writes: Option<Pin<Box<Sleep>>>,
+    /// Once the player has closed its half: when to look whether it has closed the other, too.
+    half_closed: Option<Pin<Box<Sleep>>>,
     stack: Stack,
     visit: Arc<Visit>,
 }
@@ -259,6 +275,33 @@
         Poll::Pending
     }
 
+    /// Whether a request that was read has no answer out yet.
+    fn owes_an_answer(&self) -> bool {
+        matches!(self.state(), SERVES | ANSWERED)
+    }
+
+    /// The player has closed its half: the end of what it says, once nothing is owed to it, or an error where it is
+    /// proven gone.
+    fn poll_half_closed(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.owes_an_answer() {
+            return Poll::Ready(Ok(()));
+        }
+        if self.half_closed.is_none() && self.state() == SERVES {
+            // Nothing of the answer is out yet, so it stands between two messages.
+            let _ = self.socket.try_write(INTERIM);
+        }
+        let wait = || Box::pin(tokio::time::sleep(LOOK_WHILE_HALF_CLOSED));
+        let mut timer = self.half_closed.take().unwrap_or_else(wait);
+        while timer.as_mut().poll(cx).is_ready() {
+            if let Some(error) = self.socket.take_error()? {
+                return Poll::Ready(Err(error));
+            }
+            timer.as_mut().reset(Instant::now() + LOOK_WHILE_HALF_CLOSED);
+        }
+        self.half_closed = Some(timer);
+        Poll::Pending
+    }
+
     /// A write that is stuck ends the connection in the end: a player that reads nothing holds nothing up.
     fn stuck<T>(&mut self, cx: &mut Context<'_>, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if result.is_ready() {
@@ -311,6 +354,9 @@
         }
         loop {
             ready!(this.drain(cx))?;
+            if this.half_closed.is_some() {
+                return this.poll_half_closed(cx);
+            }
             let before = buf.filled().len();
             match Pin::new(&mut this.socket).poll_read(cx, buf) {
                 Poll::Pending => return this.keeps_time(cx).map(Err),
@@ -319,7 +365,7 @@
             }
             let bytes = &buf.filled()[before..];
             if bytes.is_empty() {
-                return Poll::Ready(Ok(()));
+                return this.poll_half_closed(cx);
             }
             if let Some(guard) = &this.guard {
                 match this.doorway.came(bytes, |hint| guard.hinted(hint)) {
@@ -372,6 +418,7 @@
         ready!(this.drain(cx))?;
         // The stack flushes once all that it has is written: an answer that was made is out whole.
         if this.state() == ANSWERED {
+            lock(&this.visit.undelivered).take().into_iter().for_each(|answer| answer.delivered());
             this.doorway.answered();
             this.since = Instant::now();
             this.visit.state.store(RESTS, Ordering::Relaxed);
--- a/crates/lemontide-front/src/http.rs
+++ b/crates/lemontide-front/src/http.rs
@@ -2,6 +2,7 @@
 
 use crate::connections::{accept, Hall, LetIn, Stack};
 use crate::core::Refusal;
+use crate::delivery::Undelivered;
 use crate::events::{Asked, Happened, Said, State as Figures};
 use crate::guard::Guard;
 use crate::settings::Settings;
@@ -127,22 +128,6 @@
     });
 }
 
-/// Tells the controller when the player of a wish goes away before the answer.
-struct Waiting {
-    id: u32,
-    reports: mpsc::Sender<Happened>,
-    answered: bool,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if !self.answered {
-            // Where the queue is full the closed reply tells the same when the answer is due.
-            let _ = self.reports.try_send(Happened::Left { id: self.id });
-        }
-    }
-}
-
 /// A wish that is held for a moment; one that ends without being asked about again was given up by its player.
 struct Held<'a>(Option<&'a Guard>);
 
@@ -232,11 +217,22 @@
             return not_taken(StatusCode::SERVICE_UNAVAILABLE, "too many wishes wait", wait);
         }
     }
-    let mut waiting = Waiting { id, reports: serving.reports.clone(), answered: false };
+    let undelivered = Undelivered::new(id, serving.reports.clone());
     let said = said.await;
-    waiting.answered = true;
+    if let Ok(Ok(said)) = said {
+        let mut response = answer(&serving, said, live);
+        response.extensions_mut().insert(undelivered);
+        return response;
+    }
+    undelivered.delivered();
+    refusal(&serving, said)
+}
+
+/// The response to a wish that was not taken.
+fn refusal(serving: &Serving, said: Result<Result<Said, Refusal>, oneshot::error::RecvError>) -> Response {
+    let near = "the controller is near its limit";
     match said {
-        Ok(Ok(said)) => answer(&serving, said, live),
+        Ok(Ok(said)) => answer(serving, said, false),
         Ok(Err(Refusal::NoSuchTitle)) => not_taken(StatusCode::NOT_FOUND, "there is no such title", None),
         Ok(Err(Refusal::NoSuchLane)) => not_taken(StatusCode::BAD_REQUEST, "there is no such lane", None),
         Ok(Err(Refusal::Closed)) => {
--- a/crates/lemontide-standin/tests/sockets.rs
+++ b/crates/lemontide-standin/tests/sockets.rs
@@ -267,3 +267,18 @@
         tokio::task::spawn_blocking(move || front.stop()).await.expect("it stops");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_player_that_closed_its_half_is_answered() {
+    let (front, _folder, _listener, mut link) = start().await;
+    let mut asked = send(front.address, POST, &wish("paid")).await;
+    let Order::SetUp(set_up) = order(&mut link).await else { panic!("a set-up comes first") };
+    asked.shutdown().await.expect("closed by half");
+    // Long enough for the controller to have read the close.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let plays = Plays { id: set_up.id, shot: set_up.shot, cmsd_dynamic: String::new() };
+    link.send(Told::Plays(plays)).await.expect("it reads");
+    let text = answer(asked).await;
+    assert_eq!(text.matches("HTTP/1.1 201").count(), 1, "{text}");
+    tokio::task::spawn_blocking(move || front.stop()).await.expect("it stops");
+}
