--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -242,7 +242,11 @@
         });
         let is_first = held.is_first_at(&at);
         if let Body::Release { cause, .. } = &message.body {
-            tracing::debug!(target: "streamers", session = format!("{:016x}", message.session), cause, plays);
+            // Of a session that its viewer ended at once its streamer's news is in `playing_ms`.
+            let playing_ms = held.playing.map(|since| ((now - since).seconds() * 1e6).round() / 1e3);
+            tracing::debug!(
+                target: "streamers", session = format!("{:016x}", message.session), streamer = &*at, cause, plays, playing_ms
+            );
         }
         match message.body {
             Body::Answer { description, load } if waits => self.plays(now, id, description, load),
--- a/crates/lemontide-platform/src/replies.rs
+++ b/crates/lemontide-platform/src/replies.rs
@@ -36,6 +36,8 @@
     is_handed: bool,
     /// Nobody holds its reply.
     is_dropped: bool,
+    /// It was told that its cut-off has passed.
+    is_overdue: bool,
 }
 
 #[derive(Debug, Default)]
@@ -103,7 +105,10 @@
         let mut ledger = self.ledger();
         ledger.last += 1;
         let number = ledger.last;
-        ledger.open.insert(number, Open { conn, session, due, is_handed: false, is_dropped: false });
+        ledger.open.insert(
+            number,
+            Open { conn, session, due, is_handed: false, is_dropped: false, is_overdue: false },
+        );
         *ledger.by_conn.entry(conn).or_default() += 1;
         PendingReply::new(self, number)
     }
@@ -118,11 +123,16 @@
         self.ledger().by_conn.get(&conn).copied().unwrap_or_default()
     }
 
-    /// Connection and session of each request that nobody has answered by its cut-off.
+    /// Connection and session of each request that nobody has answered by its cut-off, once.
     pub fn overdue(&self, now: Point) -> Vec<(u64, u64)> {
-        let ledger = self.ledger();
-        let late = |open: &&Open| !open.is_handed && !open.is_dropped && now >= open.due;
-        ledger.open.values().filter(late).map(|open| (open.conn, open.session)).collect()
+        let mut ledger = self.ledger();
+        let late =
+            |open: &&mut Open| !open.is_handed && !open.is_dropped && !open.is_overdue && now >= open.due;
+        let tell = |open: &mut Open| {
+            open.is_overdue = true;
+            (open.conn, open.session)
+        };
+        ledger.open.values_mut().filter(late).map(tell).collect()
     }
 
     /// The replies that were dropped, to be answered after all.
@@ -159,7 +169,7 @@
 
     /// The answer is due by then.
     pub fn set_due(&self, due: Point) {
-        self.with_open(|open| open.due = due);
+        self.with_open(|open| (open.due, open.is_overdue) = (due, false));
     }
 
     /// The answer is on its way to the connection's socket.
--- a/crates/lemontide-platform/tests/replies.rs
+++ b/crates/lemontide-platform/tests/replies.rs
@@ -32,6 +32,7 @@
     let wait = Span::of(3.0);
     assert!(replies.overdue(now).is_empty());
     assert_eq!(replies.overdue(now + wait), [(1, 7)]);
+    assert!(replies.overdue(now + wait).is_empty(), "it is told once");
     reply.set_due(now + wait + wait);
     assert!(replies.overdue(now + wait).is_empty());
     reply.hand();
