--- a/crates/lemontide-cli/src/soak.rs
+++ b/crates/lemontide-cli/src/soak.rs
@@ -3,8 +3,8 @@
 use crate::Outcome;
 use clap::Args as ClapArgs;
 use futures::stream::{self, StreamExt};
-use lemontide_standin::soak::{self, Options};
-use std::path::PathBuf;
+use lemontide_standin::soak::{self, front, Options};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 #[derive(ClapArgs)]
@@ -24,6 +24,9 @@
     /// Another build to play, in place of this program.
     #[arg(long)]
     program: Option<PathBuf>,
+    /// Play days of `lemontide front` in place of runs of `lemontide serve`.
+    #[arg(long)]
+    front: bool,
     /// A folder for the logs of the nodes, by seed; they are dropped where it is not given.
     #[arg(long)]
     logs: Option<PathBuf>,
@@ -38,6 +41,9 @@
         Some(program) => program.clone(),
         None => std::env::current_exe()?,
     };
+    if args.front {
+        return play_front(&program, args);
+    }
     let options = Options { program, seconds: args.seconds };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let seeds = args.seed..args.seed.saturating_add(args.count);
@@ -65,6 +71,35 @@
     })
 }
 
+/// Plays days of `lemontide front`; ends with 1 where a rule was broken.
+fn play_front(program: &Path, args: &Args) -> Outcome {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let seeds = args.seed..args.seed.saturating_add(args.count);
+    let outcomes = runtime.block_on(async {
+        let play = |seed| async move {
+            let scratch = tempfile::tempdir()?;
+            let kept = args.logs.as_ref().map(|logs| logs.join(format!("front-{seed}")));
+            let folder = std::path::absolute(kept.as_deref().unwrap_or(scratch.path()))?;
+            let outcome = front::play(seed, program, args.seconds, &folder).await?;
+            println!("{}", outcome.summary);
+            if !outcome.verdict.is_clean() {
+                print!("{}", outcome.verdict.table());
+            }
+            Ok::<_, std::io::Error>(outcome)
+        };
+        stream::iter(seeds).map(play).buffered(args.jobs.max(1)).collect::<Vec<_>>().await
+    });
+    let mut broken = Vec::new();
+    for outcome in outcomes {
+        let outcome = outcome?;
+        if !outcome.verdict.is_clean() {
+            broken.push(outcome.seed);
+        }
+    }
+    println!("{} seeds of front; a rule broken on {broken:?}", args.count);
+    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// Plays a seed, once more where this machine was late, and prints what came of it.
 async fn play(seed: u64, options: &Options, logs: Option<PathBuf>) -> std::io::Result<soak::Outcome> {
     let mut plays = 0;
--- a/crates/lemontide-cli/tests/soak.rs
+++ b/crates/lemontide-cli/tests/soak.rs
@@ -2,9 +2,12 @@
 
 use std::io::Write;
 use std::process::Command;
+use std::sync::{Mutex, PoisonError};
 
 /// First seed and count of each part; together they take about two minutes.
 const PARTS: [(u64, u64); 4] = [(1, 16), (120, 2), (204, 2), (9001, 4)];
+/// First seed and count of days of `front`, and their length in seconds.
+const FRONT: (u64, u64, u64) = (1, 4, 6);
 /// Seeds that are played at the same time at first.
 const JOBS: u64 = 4;
 /// Exit codes of `lemontide soak`: nothing broken, and not judged, as this machine was late.
@@ -29,6 +32,23 @@
     late.map(|seed| seed.parse().expect("a seed")).collect()
 }
 
+/// The two soaks take turns: each judges times, and neither is to be late by the other.
+static TURN: Mutex<()> = Mutex::new(());
+
+#[test]
+fn no_rule_is_broken_on_fixed_days_of_front() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (first, count, seconds) = FRONT;
+    let run = Command::new(env!("CARGO_BIN_EXE_lemontide"))
+        .args(["soak", "--front", "--jobs", &JOBS.to_string(), "--seconds", &seconds.to_string()])
+        .args(["--seed", &first.to_string(), "--count", &count.to_string()])
+        .output()
+        .expect("it runs");
+    let told = String::from_utf8_lossy(&run.stdout);
+    assert!(run.status.success(), "{told}{}", String::from_utf8_lossy(&run.stderr));
+    tell(&format!("soak of front: {count} seeds judged, no rule broken"));
+}
+
 /// Written past the test program's capture, so that a run that passes tells it too.
 fn tell(what: &str) {
     let _ = writeln!(std::io::stderr(), "{what}");
@@ -36,6 +56,7 @@
 
 #[test]
 fn no_rule_is_broken_on_fixed_seeds() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let all: u64 = PARTS.iter().map(|part| part.1).sum();
     let late: Vec<u64> = PARTS.iter().flat_map(|(first, count)| play(*first, *count, JOBS)).collect();
     tell(&format!("soak: {} of {all} seeds not judged at first: {late:?}", late.len()));
--- a/crates/lemontide-standin/src/day.rs
+++ b/crates/lemontide-standin/src/day.rs
@@ -132,6 +132,11 @@
     /// Part that stops watching half way.
     #[serde(default)]
     pub leave_early: f64,
+    /// Part that closes its half of the connection behind its wish, and part that resets it before the answer.
+    #[serde(default)]
+    pub close_half: f64,
+    #[serde(default)]
+    pub reset: f64,
     /// How far viewers lean to some controllers: 0 evenly, 1 very much.
     #[serde(default)]
     pub lean: f64,
--- a/crates/lemontide-standin/src/import.rs
+++ b/crates/lemontide-standin/src/import.rs
@@ -230,6 +230,8 @@
             small_screens: number(json, "fam.small_screens").unwrap_or(0.0),
             impatient: 0.01,
             leave_early: 0.05,
+            close_half: 0.0,
+            reset: 0.0,
             lean: number(json, "fam.lean").unwrap_or(0.0).min(1.0),
             notice_s: micros(json, "front_notice").unwrap_or(1.0),
         },
--- a/crates/lemontide-standin/src/player.rs
+++ b/crates/lemontide-standin/src/player.rs
@@ -1,5 +1,7 @@
 //! Players: viewers who come, wait, watch, leave and come again, each over its own HTTP connections.
 
+mod raw;
+
 use crate::day::{Day, What};
 use crate::streamer::{Fault, Fleet, FAULT_EVERY};
 use http_body_util::{BodyExt, Full};
@@ -40,6 +42,27 @@
     pub leaves_early: bool,
     pub impatient: bool,
     pub seed: u64,
+    /// What it does to the connection of its wish.
+    pub habit: Habit,
+}
+
+/// What a viewer does to the connection of its wish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Habit {
+    Keeps,
+    ClosesHalf,
+    Resets,
+}
+
+/// Drawn from the viewer's own seed, so that days without such viewers stay as they were.
+fn habit(day: &Day, seed: u64) -> Habit {
+    let drawn = StdRng::seed_from_u64(!seed).random::<f64>();
+    let (close_half, reset) = (day.viewers.close_half, day.viewers.reset);
+    match drawn {
+        drawn if drawn < close_half => Habit::ClosesHalf,
+        drawn if drawn < close_half + reset => Habit::Resets,
+        _ => Habit::Keeps,
+    }
 }
 
 /// All viewers of a day, in the order in which they come: the same for the same day.
@@ -67,6 +90,11 @@
         let highest = day.ladder.kb.len() - 1;
         let small = chance.random::<f64>() < day.viewers.small_screens;
         let top = day.lanes[lane].lane.top.unwrap_or(highest).min(highest);
+        let (leaves_early, impatient) = (
+            chance.random::<f64>() < day.viewers.leave_early,
+            chance.random::<f64>() < day.viewers.impatient,
+        );
+        let seed = chance.random();
         viewers.push(Viewer {
             number: viewers.len(),
             at_s,
@@ -76,9 +104,10 @@
             title,
             watches_s: least + (most - least).max(0.0) * chance.random::<f64>(),
             top: if small { top.saturating_sub(2).max(day.lanes[lane].lane.floor) } else { top },
-            leaves_early: chance.random::<f64>() < day.viewers.leave_early,
-            impatient: chance.random::<f64>() < day.viewers.impatient,
-            seed: chance.random(),
+            leaves_early,
+            impatient,
+            seed,
+            habit: habit(day, seed),
         });
     }
 }
@@ -198,7 +227,15 @@
         };
         let wait = Instant::now() + Duration::from_secs_f64(patience);
         // To go away is to drop the request: the connection closes, and the controller hears it.
-        let answer = timeout_at(wait, self.post(address, viewer, &wish)).await;
+        let answer = match viewer.habit {
+            Habit::Keeps => timeout_at(wait, self.post(address, viewer, &wish)).await,
+            Habit::ClosesHalf => timeout_at(wait, raw::post_and_close_half(address, &wish)).await,
+            Habit::Resets => {
+                let _ = timeout_at(wait, raw::post_and_reset(address, &wish, chance.random())).await;
+                self.tap.write(Seen::Left { ask });
+                return Ended::Done;
+            }
+        };
         let Ok(answer) = answer else {
             self.tap.write(Seen::Left { ask });
             return Ended::Done;
@@ -279,4 +316,4 @@
     }
 }
 
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
+pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -1,9 +1,10 @@
 //! Seeded runs of a handful of real controllers on loopback, under troubles that are drawn and combined by the seed,
 //! with the rules judged from what crossed the sockets. `plan` draws a run, `server`, `discovery` and `client` are the
-//! stand-ins, `node` is a controller's process, `record` keeps what crossed, `judge` reads it, `report` prints it.
+//! stand-ins, `front` draws days of the other program, `node` is a controller's process, `record` keeps what crossed, `judge` reads it, `report` prints it.
 
 mod client;
 pub mod discovery;
+pub mod front;
 pub mod judge;
 mod node;
 mod plan;
