serve: the loop is a task of the runtime, so that an answer leaves without a wait between

Cause: the loop was the future that the runtime blocks on. To wake it from a connection's task, the runtime writes to its own event descriptor or polls with no timeout, for every message.

Change: the loop is spawned as a task; names of streamers are shared by Arc, as tasks must be Send.

Measured on loopback with strace, 1,000 requests one after the other: epoll_wait 8,041 to 4,293, all calls 14.5 to 10.7 a request; between the read of a streamer's answer and its write to the client one epoll_wait before, none after. No test holds this; the tests of crossings pass.

--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -28,7 +28,7 @@
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Kept back of a viewer's time, so that the final answer is there before the viewer goes.
 const ANSWER_MARGIN: Span = Span::of_millis(40);
@@ -175,7 +175,7 @@
     reply: Option<PendingReply>,
     /// What is passed on with a shot; given up once it plays.
     set_up: SetUp,
-    at: Rc<str>,
+    at: Arc<str>,
     /// Until when it may be sent.
     until: Point,
     rung: usize,
@@ -186,7 +186,7 @@
     begun: Option<Point>,
     attempt: Option<Attempt>,
     /// Streamers that may have set it up in an earlier attempt, and may still release that.
-    attempted_at: Vec<Rc<str>>,
+    attempted_at: Vec<Arc<str>>,
     /// Since when it plays.
     playing: Option<Point>,
     /// The connection that carries what is said of it to its streamer while it plays: order holds within one only.
@@ -223,7 +223,7 @@
     }
 
     /// Whether what a streamer says of this session can concern no earlier attempt.
-    fn is_first_at(&self, at: &Rc<str>) -> bool {
+    fn is_first_at(&self, at: &Arc<str>) -> bool {
         !self.attempted_at.contains(at)
     }
 
@@ -243,7 +243,7 @@
 
 /// One connection to a streamer.
 struct Wire {
-    at: Rc<str>,
+    at: Arc<str>,
     link: Link<Order>,
     /// Set-ups that wait on it or are out on it.
     open: usize,
@@ -262,7 +262,7 @@
 
 /// A release that a streamer must get.
 struct End {
-    at: Rc<str>,
+    at: Arc<str>,
     session: u64,
     until: Point,
     sent: Option<SentEnd>,
@@ -322,7 +322,7 @@
 pub struct Dispatcher {
     module: Controller,
     terms: Terms,
-    known: BTreeMap<Rc<str>, Known>,
+    known: BTreeMap<Arc<str>, Known>,
     wires: BTreeMap<u64, Wire>,
     /// Ordered, so that the same events give the same effects.
     held: BTreeMap<u32, Held>,
@@ -350,7 +350,7 @@
     ended: EndedSessions,
     /// Connections that this end has done with, whose streamer's close is awaited, with that streamer. They hold a
     /// descriptor, and what is said on them is still heard.
-    closing: BTreeMap<Connection, Rc<str>>,
+    closing: BTreeMap<Connection, Arc<str>>,
     /// Number of the last test that was sent to a streamer.
     last_test: u64,
     replies: Replies,
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -40,7 +40,7 @@
     }
 
     /// Remembers an attempt that may still be out though its request is over, and to end it.
-    fn remember_unproven(&mut self, now: Point, at: Rc<str>, session: u64, attempt: GivenUp) {
+    fn remember_unproven(&mut self, now: Point, at: Arc<str>, session: u64, attempt: GivenUp) {
         self.end_unproven(now, at, session, &attempt);
         if self.unproven.len() >= OVER_MOST {
             self.unproven.pop_front();
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -13,7 +13,7 @@
 impl Dispatcher {
     /// Tells a streamer that what stands there is over; again, where the connection goes before the streamer is known
     /// to have read it. Guards against streams that nobody watches.
-    pub(super) fn end_at(&mut self, now: Point, at: &Rc<str>, session: u64) {
+    pub(super) fn end_at(&mut self, now: Point, at: &Arc<str>, session: u64) {
         let mut end = End { at: at.clone(), session, until: now + OWED_FOR, sent: None, may_dial: true };
         self.send_end(now, &mut end);
         self.remember_end(end);
@@ -21,7 +21,7 @@
 
     /// Remembers to end an attempt that was given up and may stand, though its request is over: its end may not be
     /// written yet, and is written again where its connection goes before the streamer is known to have read it.
-    pub(super) fn end_unproven(&mut self, now: Point, at: Rc<str>, session: u64, attempt: &GivenUp) {
+    pub(super) fn end_unproven(&mut self, now: Point, at: Arc<str>, session: u64, attempt: &GivenUp) {
         let sent = attempt.test.map(|test| SentEnd { on: attempt.on, after_test: test.saturating_sub(1) });
         self.remember_end(End { at, session, until: now + OWED_FOR, sent, may_dial: false });
     }
@@ -208,7 +208,7 @@
     }
 
     /// The streamer at the other end of a connection that is up, or closed by half.
-    fn streamer_on(&self, on: Connection) -> Option<Rc<str>> {
+    fn streamer_on(&self, on: Connection) -> Option<Arc<str>> {
         let current = self.wires.get(&on.link).filter(|_| self.is_current(on));
         current.map(|wire| &wire.at).or_else(|| self.closing.get(&on)).cloned()
     }
@@ -292,7 +292,7 @@
         // What plays or is out at a streamer needs a link there; a shot and a release dial for themselves.
         let is_out = |held: &Held| held.attempt.as_ref().is_some_and(|attempt| attempt.given_up.is_none());
         let needs = |held: &&Held| held.playing.is_some() || is_out(held);
-        let needed: BTreeSet<Rc<str>> =
+        let needed: BTreeSet<Arc<str>> =
             self.held.values().filter(needs).map(|held| held.at.clone()).collect();
         for at in &needed {
             if self.known.get(at).is_some_and(|known| known.links.is_empty()) {
@@ -332,7 +332,7 @@
         }
     }
 
-    pub(super) fn add_link(&mut self, now: Point, at: &Rc<str>) {
+    pub(super) fn add_link(&mut self, now: Point, at: &Arc<str>) {
         let Some(known) = self.known.get_mut(at) else { return };
         if self.wires.len() >= self.terms.links_most && !known.links.is_empty() {
             return;
@@ -366,7 +366,7 @@
     /// Closes a connection that nothing needs, the one that is idle for longest first, or else one of several to the
     /// same streamer.
     fn free_a_connection(&mut self, now: Point) {
-        let several = |at: &Rc<str>| self.known.get(at).is_some_and(|known| known.links.len() > 1);
+        let several = |at: &Arc<str>| self.known.get(at).is_some_and(|known| known.links.len() > 1);
         let free = |wire: &Wire| {
             wire.link.is_up() && wire.open == 0 && (wire.link.idle.is_some() || several(&wire.at))
         };
@@ -423,7 +423,7 @@
     }
 
     /// Dials a streamer that something is to be sent to at once, whatever wait is left.
-    pub(super) fn redial(&mut self, now: Point, at: &Rc<str>) -> Option<u64> {
+    pub(super) fn redial(&mut self, now: Point, at: &Arc<str>) -> Option<u64> {
         let links = &self.known.get(at)?.links;
         if links.is_empty() {
             self.add_link(now, at);
--- a/crates/lemontide-platform/src/dispatcher/list.rs
+++ b/crates/lemontide-platform/src/dispatcher/list.rs
@@ -20,7 +20,7 @@
         }
         self.module.learn(now, &lines, hosts.full);
         self.carry_out(now);
-        let names: Vec<Rc<str>> = self.known.keys().cloned().collect();
+        let names: Vec<Arc<str>> = self.known.keys().cloned().collect();
         for at in names {
             self.take_back(now, &at);
             self.forget(now, &at);
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -91,7 +91,9 @@
         let listener = TcpListener::bind(config.listen).await.map_err(|e| {
             format!("{}: {e}; RELAY_LISTEN must be a free address of this machine", config.listen)
         })?;
-        Ok(serve(listener, config, Some(environment.config)).await?)
+        // A task like those of the connections: to wake the future that the runtime blocks on costs system calls, and
+        // each message does.
+        Ok(tokio::spawn(serve(listener, config, Some(environment.config))).await??)
     })
 }
 
--- a/src/books.rs
+++ b/src/books.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Point, Span};
 use crate::interface::{number, span, text, Sheet};
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::sync::Arc;
 
 #[derive(Default)]
 pub struct Lane {
@@ -109,7 +109,7 @@
 
 #[derive(Default)]
 pub struct Streamer {
-    pub name: Rc<str>,
+    pub name: Arc<str>,
     pub rack: usize,
     pub cell: usize,
     pub near: bool,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{Point, Span};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// One value of the settings that a controller is handed at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -120,7 +120,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shot {
     pub id: u32,
-    pub streamer: Rc<str>,
+    pub streamer: Arc<str>,
     pub within: Span,
 }
 
@@ -136,7 +136,7 @@
     /// Playing subscriptions to end here; they come back to this controller as new wishes.
     pub moved: Vec<u32>,
     /// Streamers to look at; what comes back goes to `looked`.
-    pub looks: Vec<Rc<str>>,
+    pub looks: Vec<Arc<str>>,
     /// Ask for the list's changes from now on; what comes goes to `learn`, a failure to `list_lost`.
     pub follow: bool,
     /// The moment at which `wake` wants to be called.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,7 +9,7 @@
 use lemontide::interface::{Ending, Load, Sheet, Stage, Value};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 const SEATS: usize = 2;
 const MOST: u32 = 3;
@@ -105,7 +105,7 @@
     /// Sends to streamers while they were cold, by both controllers.
     cold: Vec<Vec<Point>>,
     /// Looks under way, by controller.
-    looks: Vec<(usize, Rc<str>)>,
+    looks: Vec<(usize, Arc<str>)>,
 }
 
 impl Model {
