--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::permit::Permit;
 use crate::replies::{Departure, Heard, PendingReply, Replies};
 use crate::steps::{Outcome, Steps};
-use crate::viewers::Said;
+use crate::viewers::Outgoing;
 use bytes::Bytes;
 use ended::EndedSessions;
 use lemontide::clock::{Point, Span};
@@ -80,7 +80,7 @@
         heard: u64,
     },
     /// Read nothing more on a viewers' connection, and close it once nothing on it is owed an answer.
-    Part {
+    Drain {
         conn: u64,
     },
     Dial {
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -63,8 +63,8 @@
 
     /// What was to be said on a connection that is over. What stood is told of elsewhere; what a viewer never heard
     /// is set up is ended.
-    pub fn unsaid(&mut self, now: Point, all: Vec<Said>) {
-        for Said { message, stood, reply, .. } in all {
+    pub fn unsaid(&mut self, now: Point, all: Vec<Outgoing>) {
+        for Outgoing { message, stood, reply, .. } in all {
             reply.into_iter().for_each(|reply| reply.client_gone(Departure::Closed));
             match message.body {
                 Body::Release { cause, .. } if stood => self.release(now, 0, message.session, cause),
@@ -82,10 +82,10 @@
     }
 
     /// Ends a viewers' connection from this side, once all that is owed on it is answered.
-    pub fn part(&mut self, now: Point, conn: u64) {
+    pub fn close_when_answered(&mut self, now: Point, conn: u64) {
         if self.conns.contains_key(&conn) {
             self.input_over(now, conn, InputEnd::Unusable);
-            self.effects.push(Effect::Part { conn });
+            self.effects.push(Effect::Drain { conn });
         }
     }
 
@@ -137,7 +137,7 @@
             Body::Heard | Body::Progress | Body::Tested { .. } => {}
             // Only streamers and controllers say these.
             Body::Answer { .. } | Body::Note(_) | Body::OtherNote | Body::Move | Body::Rung(_) => {
-                self.part(now, conn);
+                self.close_when_answered(now, conn);
             }
         }
         self.carry_out(now);
@@ -210,7 +210,7 @@
         let other = self.by_session.get(&session).and_then(|id| self.held.get(id));
         if other.is_some_and(|held| held.conn == conn) {
             reply.client_gone(Departure::NumberReused);
-            return self.part(now, conn);
+            return self.close_when_answered(now, conn);
         }
         self.answer(reply, Body::release(cause::UNUSABLE), None);
     }
@@ -326,7 +326,7 @@
         if from.is_some_and(|from| from.turned_away.contains(&session)) {
             self.refuse(now, reply);
             if self.conns.get(&conn).is_some_and(Conn::is_idle) {
-                self.part(now, conn);
+                self.close_when_answered(now, conn);
             }
             return;
         }
--- a/crates/lemontide-platform/src/outbox.rs
+++ b/crates/lemontide-platform/src/outbox.rs
@@ -3,7 +3,7 @@
 
 use crate::codec::Codec;
 use crate::replies::PendingReply;
-use crate::viewers::Said;
+use crate::viewers::Outgoing;
 use futures::SinkExt;
 use lemontide::clock::Point;
 use lemontide_wire::clock::Clock;
@@ -24,10 +24,10 @@
 pub(crate) struct Outbox {
     clock: Clock,
     socket: FramedWrite<OwnedWriteHalf, Codec>,
-    waiting: VecDeque<Said>,
+    waiting: VecDeque<Outgoing>,
     /// What is not known to be written as a whole.
-    writing: Vec<Said>,
-    written: VecDeque<(Instant, Said)>,
+    writing: Vec<Outgoing>,
+    written: VecDeque<(Instant, Outgoing)>,
     /// The client has closed its half, and may have closed the other too.
     is_half_closed: bool,
 }
@@ -44,7 +44,7 @@
         }
     }
 
-    pub(crate) fn push(&mut self, said: Said) {
+    pub(crate) fn push(&mut self, said: Outgoing) {
         self.waiting.push_back(said);
     }
 
@@ -98,7 +98,7 @@
     }
 
     /// Takes what was not written, or not as a whole.
-    pub(crate) fn take_unsaid(&mut self) -> Vec<Said> {
+    pub(crate) fn take_unsaid(&mut self) -> Vec<Outgoing> {
         let mut unsaid = std::mem::take(&mut self.writing);
         unsaid.extend(self.waiting.drain(..));
         unsaid
@@ -110,7 +110,7 @@
     }
 
     /// Takes what was written so lately that the client may not have read it, and must not be lost.
-    pub(crate) fn take_maybe_unread(&mut self) -> Vec<Said> {
+    pub(crate) fn take_maybe_unread(&mut self) -> Vec<Outgoing> {
         self.forget_read(Instant::now());
         self.written.drain(..).map(|(_, said)| said).collect()
     }
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::dispatcher::{Dispatcher, Effect, Order, Terms};
 use crate::replies::Departure;
 use crate::streamers::Close;
-use crate::viewers::{Said, Word};
+use crate::viewers::{Command, Outgoing};
 use crate::{journal, streamers, viewers};
 use futures::FutureExt;
 use lemontide::clock::{Point, Span};
@@ -107,7 +107,7 @@
 struct Sockets {
     clock: Clock,
     dial_timeout: Duration,
-    viewers: HashMap<u64, mpsc::Sender<Word>>,
+    viewers: HashMap<u64, mpsc::Sender<Command>>,
     /// The tasks of viewers' connections: they outlast the loop until the last answer is out.
     writing: JoinSet<()>,
     links: HashMap<Connection, Orders>,
@@ -123,16 +123,16 @@
             for effect in std::mem::take(&mut dispatcher.effects) {
                 match effect {
                     Effect::Say { conn, message, stood, reply, steps } => {
-                        let said = Box::new(Said { message, stood, reply, steps });
+                        let said = Box::new(Outgoing { message, stood, reply, steps });
                         let (full, said) = match self.viewers.get(&conn) {
                             None => (false, said),
-                            Some(words) => match words.try_send(Word::Say(said)) {
+                            Some(commands) => match commands.try_send(Command::Say(said)) {
                                 Ok(()) => {
                                     handed = true;
                                     continue;
                                 }
-                                Err(mpsc::error::TrySendError::Full(Word::Say(said))) => (true, said),
-                                Err(mpsc::error::TrySendError::Closed(Word::Say(said))) => (false, said),
+                                Err(mpsc::error::TrySendError::Full(Command::Say(said))) => (true, said),
+                                Err(mpsc::error::TrySendError::Closed(Command::Say(said))) => (false, said),
                                 Err(_) => continue,
                             },
                         };
@@ -146,13 +146,13 @@
                     }
                     Effect::Retire { conn, heard } => {
                         // One that does not read is not idle, and ends by itself.
-                        if let Some(words) = self.viewers.get(&conn) {
-                            let _ = words.try_send(Word::Retire { heard });
+                        if let Some(commands) = self.viewers.get(&conn) {
+                            let _ = commands.try_send(Command::Retire { heard });
                         }
                     }
-                    Effect::Part { conn } => {
-                        if let Some(words) = self.viewers.get(&conn) {
-                            let _ = words.try_send(Word::Drain);
+                    Effect::Drain { conn } => {
+                        if let Some(commands) = self.viewers.get(&conn) {
+                            let _ = commands.try_send(Command::Drain);
                         }
                     }
                     Effect::Dial { on, address } => self.dial(on, address),
@@ -182,7 +182,7 @@
 
     fn of_viewer(&mut self, now: Point, dispatcher: &mut Dispatcher, report: viewers::Report) {
         match report {
-            viewers::Report::Said(heard) => dispatcher.viewer_said(now, *heard),
+            viewers::Report::Received(heard) => dispatcher.viewer_said(now, *heard),
             viewers::Report::InputOver { conn, why } => dispatcher.input_over(now, conn, why),
             viewers::Report::Gone { conn, why, unsaid } => {
                 self.viewers.remove(&conn);
@@ -194,8 +194,8 @@
     }
 
     fn viewer_comes(&mut self, now: Point, dispatcher: &mut Dispatcher, conn: u64, socket: TcpStream) {
-        let (words, said) = mpsc::channel(SAY_MOST);
-        self.viewers.insert(conn, words);
+        let (commands, said) = mpsc::channel(SAY_MOST);
+        self.viewers.insert(conn, commands);
         dispatcher.viewer_up(now, conn);
         let (reports, replies) = (self.from_viewers.clone(), dispatcher.replies().clone());
         self.writing.spawn(viewers::run(self.clock, conn, socket, said, reports, replies));
@@ -203,8 +203,8 @@
 
     /// Closes every viewers' connection, with an answer to each request that was read on it by then.
     async fn drain(&mut self, dispatcher: &mut Dispatcher, reports: &mut mpsc::Receiver<viewers::Report>) {
-        for words in self.viewers.values() {
-            let _ = words.try_send(Word::Drain);
+        for commands in self.viewers.values() {
+            let _ = commands.try_send(Command::Drain);
         }
         while !self.viewers.is_empty() {
             let Some(report) = reports.recv().await else { break };
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -34,7 +34,7 @@
 
 /// What a viewers' connection reports.
 pub enum Report {
-    Said(Box<Heard>),
+    Received(Box<Heard>),
     /// Nothing more is read on it; what is owed on it can still be said.
     InputOver {
         conn: u64,
@@ -44,17 +44,17 @@
     Gone {
         conn: u64,
         why: Departure,
-        unsaid: Vec<Said>,
+        unsaid: Vec<Outgoing>,
     },
     /// What was said on a connection that is over, and not read by its client.
     Unread {
-        unread: Vec<Said>,
+        unread: Vec<Outgoing>,
     },
 }
 
 /// A message to a viewer; with `stood` it ends what stood, and may be said on any other connection as well.
 #[derive(Debug)]
-pub struct Said {
+pub struct Outgoing {
     pub message: Message,
     pub stood: bool,
     /// Of the request that it answers, if it answers one.
@@ -64,8 +64,8 @@
 }
 
 /// What a viewers' connection is told.
-pub enum Word {
-    Say(Box<Said>),
+pub enum Command {
+    Say(Box<Outgoing>),
     /// Close, unless more was said on it than this many messages, or is being said.
     Retire {
         heard: u64,
@@ -90,44 +90,44 @@
 }
 
 /// One connection: what it may still say, and the answers that are owed on it.
-struct Connection {
+struct ClientConnection {
     conn: u64,
     outbox: Outbox,
-    words: mpsc::Receiver<Word>,
+    commands: mpsc::Receiver<Command>,
     replies: Replies,
 }
 
-/// What the dispatcher asks the reading side of a connection, through its writing side.
+/// What the reading side of a connection is told by its writing side, which takes the commands.
 #[derive(Default)]
-struct Wishes {
+struct ReaderControl {
     changed: Notify,
     drains: AtomicBool,
     /// It is to close, where so many messages came on it.
     retires_at: AtomicU64,
 }
 
-impl Connection {
+impl ClientConnection {
     fn owes_nothing(&self) -> bool {
         self.replies.open_on(self.conn) == 0
     }
 
-    /// Puts a word and all that came after it where they belong.
-    fn take_words(&mut self, first: Word, wishes: &Wishes) {
+    /// Takes a command and all that wait behind it.
+    fn take_commands(&mut self, first: Command, control: &ReaderControl) {
         let mut next = Some(first);
-        while let Some(word) = next {
-            match word {
-                Word::Say(said) => self.outbox.push(*said),
-                Word::Retire { heard } => {
+        while let Some(command) = next {
+            match command {
+                Command::Say(said) => self.outbox.push(*said),
+                Command::Retire { heard } => {
                     // Counted from 1, as 0 is none.
-                    wishes.retires_at.store(heard + 1, Ordering::Release);
-                    wishes.changed.notify_one();
+                    control.retires_at.store(heard + 1, Ordering::Release);
+                    control.changed.notify_one();
                 }
-                Word::Drain => {
-                    wishes.drains.store(true, Ordering::Release);
-                    wishes.changed.notify_one();
+                Command::Drain => {
+                    control.drains.store(true, Ordering::Release);
+                    control.changed.notify_one();
                 }
             }
-            next = self.words.try_recv().ok();
+            next = self.commands.try_recv().ok();
         }
     }
 
@@ -141,9 +141,9 @@
     }
 
     /// Writes what the dispatcher says until it says no more.
-    async fn write_words(&mut self, wishes: &Wishes) -> End {
-        while let Some(word) = self.words.recv().await {
-            self.take_words(word, wishes);
+    async fn write_commands(&mut self, control: &ReaderControl) -> End {
+        while let Some(command) = self.commands.recv().await {
+            self.take_commands(command, control);
             if let Err(end) = self.write().await {
                 return end;
             }
@@ -154,11 +154,11 @@
     /// Says what is owed on a connection on which nothing more is read, until nothing is or its client is proven gone. Of
     /// one that was closed by the other end it is not known whether by half: a message that means nothing is
     /// answered with a reset where it was closed whole.
-    async fn drain(&mut self, why: InputEnd, wishes: &Wishes) -> End {
+    async fn drain(&mut self, why: InputEnd, control: &ReaderControl) -> End {
         if why == InputEnd::HalfClosed {
             self.outbox.half_closed();
             let probe = Message { session: 0, body: Body::Progress };
-            self.outbox.push(Said { message: probe, stood: false, reply: None, steps: None });
+            self.outbox.push(Outgoing { message: probe, stood: false, reply: None, steps: None });
         }
         loop {
             if let Err(end) = self.write().await {
@@ -170,8 +170,8 @@
             if self.owes_nothing() && self.outbox.is_empty() {
                 return End::Ours;
             }
-            match timeout(LOOK_WHILE_DRAINING, self.words.recv()).await {
-                Ok(Some(word)) => self.take_words(word, wishes),
+            match timeout(LOOK_WHILE_DRAINING, self.commands.recv()).await {
+                Ok(Some(command)) => self.take_commands(command, control),
                 Ok(None) => return End::Ours,
                 Err(_) => {}
             }
@@ -185,7 +185,7 @@
     conn: u64,
     replies: &Replies,
     frames: &mut Reader,
-    wishes: &Wishes,
+    control: &ReaderControl,
     reports: &mpsc::Sender<Report>,
 ) -> End {
     let mut due = Some(Instant::now() + WHOLE_WITHIN);
@@ -194,11 +194,11 @@
         let next = tokio::select! {
             biased;
             next = frames.next(due) => next,
-            () = wishes.changed.notified() => {
-                if wishes.drains.load(Ordering::Acquire) {
+            () = control.changed.notified() => {
+                if control.drains.load(Ordering::Acquire) {
                     return End::Input(InputEnd::Unusable);
                 }
-                if wishes.retires_at.load(Ordering::Acquire) != said + 1 || replies.open_on(conn) > 0 {
+                if control.retires_at.load(Ordering::Acquire) != said + 1 || replies.open_on(conn) > 0 {
                     continue;
                 }
                 // What the socket holds by now is seen after one turn of the runtime.
@@ -215,7 +215,7 @@
                 due = None;
                 said += 1;
                 let heard = replies.take(conn, message, Point::at(clock.now()));
-                if reports.send(Report::Said(Box::new(heard))).await.is_err() {
+                if reports.send(Report::Received(Box::new(heard))).await.is_err() {
                     return End::Ours;
                 }
             }
@@ -231,12 +231,12 @@
     }
 }
 
-/// Runs one connection until either end is done with it; it closes when `words` does.
+/// Runs one connection until either end is done with it; it closes when `commands` does.
 pub async fn run(
     clock: Clock,
     conn: u64,
     socket: TcpStream,
-    words: mpsc::Receiver<Word>,
+    commands: mpsc::Receiver<Command>,
     reports: mpsc::Sender<Report>,
     replies: Replies,
 ) {
@@ -244,27 +244,27 @@
     let _ = socket.set_nodelay(true);
     let (read, write) = socket.into_split();
     let mut connection =
-        Connection { conn, outbox: Outbox::new(clock, write), words, replies: replies.clone() };
+        ClientConnection { conn, outbox: Outbox::new(clock, write), commands, replies: replies.clone() };
     let mut frames = Reader::new(read, WHOLE_WITHIN);
-    let wishes = Wishes::default();
+    let control = ReaderControl::default();
     let mut end = tokio::select! {
-        end = connection.write_words(&wishes) => end,
-        end = read_all(clock, conn, &replies, &mut frames, &wishes, &reports) => end,
+        end = connection.write_commands(&control) => end,
+        end = read_all(clock, conn, &replies, &mut frames, &control, &reports) => end,
     };
     if let End::Input(why) = end {
         end = match (connection.owes_nothing(), why) {
             (false, _) => {
                 let _ = reports.send(Report::InputOver { conn, why }).await;
-                connection.drain(why, &wishes).await
+                connection.drain(why, &control).await
             }
             (true, InputEnd::HalfClosed) => End::Theirs { is_reset: false, why: Departure::Closed },
             (true, InputEnd::Unusable) => End::Ours,
         };
     }
-    let Connection { mut outbox, mut words, .. } = connection;
-    words.close();
-    while let Ok(word) = words.try_recv() {
-        if let Word::Say(said) = word {
+    let ClientConnection { mut outbox, mut commands, .. } = connection;
+    commands.close();
+    while let Ok(command) = commands.try_recv() {
+        if let Command::Say(said) = command {
             outbox.push(*said);
         }
     }
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -286,7 +286,7 @@
                         reply.into_iter().for_each(PendingReply::answered);
                         self.said.push((conn, message));
                     }
-                    Effect::Part { conn } => self.parted.push(conn),
+                    Effect::Drain { conn } => self.parted.push(conn),
                     Effect::Retire { conn, heard } => self.retired.push((conn, heard)),
                     Effect::Dial { on, address } => {
                         self.dials.insert(on.link, on.dial);
--- a/crates/lemontide-platform/tests/unread.rs
+++ b/crates/lemontide-platform/tests/unread.rs
@@ -2,7 +2,7 @@
 
 use lemontide_platform::codec::{cause, Body, Message};
 use lemontide_platform::replies::Replies;
-use lemontide_platform::viewers::{run, Report, Said, Word};
+use lemontide_platform::viewers::{run, Command, Outgoing, Report};
 use lemontide_wire::clock::Clock;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,8 +18,8 @@
     (ours.expect("accepted").0, theirs.expect("connected"))
 }
 
-fn release(session: u64) -> Said {
-    Said {
+fn release(session: u64) -> Outgoing {
+    Outgoing {
         message: Message { session, body: Body::release(cause::NORMAL) },
         stood: true,
         reply: None,
@@ -32,7 +32,7 @@
     let mut back = Vec::new();
     while let Some(report) = reports.recv().await {
         match report {
-            Report::Said(_) | Report::InputOver { .. } => {}
+            Report::Received(_) | Report::InputOver { .. } => {}
             Report::Gone { unsaid, .. } => back.extend(unsaid.iter().map(|said| said.message.session)),
             Report::Unread { unread } => back.extend(unread.iter().map(|said| said.message.session)),
         }
@@ -44,10 +44,10 @@
 async fn a_release_to_a_client_that_has_closed_comes_back() {
     for session in 1..=PLAYS {
         let (ours, theirs) = connected().await;
-        let (words, said) = mpsc::channel(4);
+        let (commands, said) = mpsc::channel(4);
         let (reports, reported) = mpsc::channel(4);
         drop(theirs);
-        words.send(Word::Say(Box::new(release(session)))).await.expect("it takes it");
+        commands.send(Command::Say(Box::new(release(session)))).await.expect("it takes it");
         tokio::spawn(run(Clock::start(), 1, ours, said, reports, Replies::default()));
         assert_eq!(handed_back(reported).await, [session]);
     }
@@ -58,10 +58,10 @@
     use tokio::io::AsyncReadExt;
     for session in 1..=PLAYS {
         let (ours, mut theirs) = connected().await;
-        let (words, said) = mpsc::channel(4);
+        let (commands, said) = mpsc::channel(4);
         let (reports, reported) = mpsc::channel(4);
         tokio::spawn(run(Clock::start(), 1, ours, said, reports, Replies::default()));
-        words.send(Word::Say(Box::new(release(session)))).await.expect("it takes it");
+        commands.send(Command::Say(Box::new(release(session)))).await.expect("it takes it");
         let mut heard = [0; 64];
         let read = tokio::time::timeout(Duration::from_secs(1), theirs.read(&mut heard)).await;
         assert!(read.expect("in time").expect("read") > 0);
