serve: what is handed over on a connection that closes before it is decided is taken over

Callers would see: a session that stands unwatched after a restart, as its hand-over was dropped with the connection it came on.

Cause: the end of a connection dropped all that was asked on it, also hand-overs, which stand whatever their connection does. Found by reading each path that takes something out of hand.

Change: only requests are taken out; hand-overs are decided. The test failed before (0 in hand instead of 1) and passes.

--- a/crates/lemontide-platform/src/dispatcher/unanswered.rs
+++ b/crates/lemontide-platform/src/dispatcher/unanswered.rs
@@ -21,11 +21,9 @@
     pub fn input_over(&mut self, now: Point, conn: u64, why: InputEnd) {
         let Some(from) = self.conns.get_mut(&conn) else { return };
         from.is_draining = true;
-        for asked in self.take_asked_on(conn) {
-            if let Some(reply) = asked.reply {
-                let turned_back = viewers::turned_back(self.module.come_again());
-                self.answer(reply, turned_back, None);
-            }
+        for reply in self.take_undecided_on(conn) {
+            let turned_back = viewers::turned_back(self.module.come_again());
+            self.answer(reply, turned_back, None);
         }
         for id in self.unanswered_on(conn) {
             let attempt = self.held.get(&id).and_then(|held| held.attempt.as_ref());
@@ -40,15 +38,17 @@
         self.carry_out(now);
     }
 
-    /// Takes what was asked on a connection and is not decided.
-    pub(super) fn take_asked_on(&mut self, conn: u64) -> Vec<Asked> {
+    /// Takes the requests of a connection that are not decided; their replies. What is handed over on it stays: it stands, and
+    /// asks for no answer.
+    pub(super) fn take_undecided_on(&mut self, conn: u64) -> Vec<PendingReply> {
         let all = std::mem::take(&mut self.asked);
-        let (on_it, others) = all.into_iter().partition(|asked: &Asked| asked.conn == conn);
+        let is_request = |asked: &Asked| asked.conn == conn && asked.reply.is_some();
+        let (requests, others): (VecDeque<Asked>, _) = all.into_iter().partition(is_request);
         self.asked = others;
         if let Some(from) = self.conns.get_mut(&conn) {
-            from.asked = 0;
+            from.asked = from.asked.saturating_sub(requests.len());
         }
-        Vec::from(on_it)
+        requests.into_iter().filter_map(|asked| asked.reply).collect()
     }
 
     /// The requests in hand on a connection that are owed an answer.
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -33,9 +33,7 @@
         if self.conns.remove(&conn).is_none() {
             return;
         }
-        for asked in self.take_asked_on(conn) {
-            asked.reply.into_iter().for_each(|reply| reply.client_gone(why));
-        }
+        self.take_undecided_on(conn).into_iter().for_each(|reply| reply.client_gone(why));
         for id in self.unanswered_on(conn) {
             self.given_up(now, id, why);
         }
--- a/crates/lemontide-platform/tests/replies.rs
+++ b/crates/lemontide-platform/tests/replies.rs
@@ -121,3 +121,21 @@
     assert_eq!((world.answered(session), world.shots(session)), (Some(cause::TURNED_BACK), 0));
     assert_eq!((world.answered(late), world.shots(late)), (Some(cause::TURNED_BACK), 0));
 }
+
+/// A hand-over asks for no answer, so the end of its connection takes nothing from it.
+#[test]
+fn what_is_handed_over_on_a_connection_that_closes_is_taken_over() {
+    for closes in [true, false] {
+        let mut world = World::new();
+        let mut stands = wish("free");
+        let figures = stands.figures.as_mut().expect("there are some");
+        figures.at = Some("s1".to_owned());
+        world.hears(VIEWERS, Message { session: 7, body: Body::SetUp(stands) }, world.now);
+        match closes {
+            true => world.dispatcher.viewer_gone(world.now, VIEWERS, Departure::Closed),
+            false => world.dispatcher.input_over(world.now, VIEWERS, InputEnd::HalfClosed),
+        }
+        while world.dispatcher.decide(world.now) {}
+        assert_eq!(world.dispatcher.in_hand(), 1, "closed whole: {closes}");
+    }
+}
