--- a/crates/lemontide-platform/src/replies.rs
+++ b/crates/lemontide-platform/src/replies.rs
@@ -123,6 +123,11 @@
         self.ledger().by_conn.get(&conn).copied().unwrap_or_default()
     }
 
+    /// The session of one of them.
+    pub fn session_on(&self, conn: u64) -> Option<u64> {
+        self.ledger().open.values().find(|open| open.conn == conn).map(|open| open.session)
+    }
+
     /// Connection and session of each request that nobody has answered by its cut-off, once.
     pub fn overdue(&self, now: Point) -> Vec<(u64, u64)> {
         let mut ledger = self.ledger();
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -157,8 +157,10 @@
     async fn drain(&mut self, why: InputEnd, control: &ReaderControl) -> End {
         if why == InputEnd::HalfClosed {
             self.outbox.half_closed();
-            let probe = Message { session: 0, body: Body::Progress };
-            self.outbox.push(Outgoing { message: probe, stood: false, reply: None, steps: None });
+            if let Some(session) = self.replies.session_on(self.conn) {
+                let probe = Message { session, body: Body::Progress };
+                self.outbox.push(Outgoing { message: probe, stood: false, reply: None, steps: None });
+            }
         }
         loop {
             if let Err(end) = self.write().await {
--- a/crates/lemontide-platform/tests/replies.rs
+++ b/crates/lemontide-platform/tests/replies.rs
@@ -16,6 +16,7 @@
     let take = |conn, session| replies.take(conn, request(session), now).reply.expect("a request");
     let (first, second, other) = (take(1, 1), take(1, 2), take(2, 3));
     assert_eq!((replies.open(), replies.open_on(1), replies.open_on(2)), (3, 2, 1));
+    assert_eq!((replies.session_on(2), replies.session_on(3)), (Some(3), None));
     first.answered();
     other.client_gone(Departure::Closed);
     assert_eq!((replies.open(), replies.open_on(1), replies.open_on(2)), (1, 1, 0));
