Soak: releases of a session that its client left unread are not counted as answers

The session stands until its server releases it at 6.629. n0 says the release on connection 352 (6.629), which its client resets at 6.655 after it has read it, and so once more on 354. The stand-in took both for answers, as it had heard none.

Without a session, with another word, or where nobody left, two are two: the new test holds all four.

--- a/crates/lemontide-standin/tests/soak_judge.rs
+++ b/crates/lemontide-standin/tests/soak_judge.rs
@@ -217,3 +217,21 @@
 fn list(at: f64, state: ListState, written: Option<f64>) -> ListEvent {
     ListEvent { at, position: 1, server: 0, state, written: vec![written] }
 }
+
+#[test]
+fn releases_of_a_session_that_its_client_left_unread_are_no_answers_and_two_answers_are() {
+    let heard = |left: Option<f64>, answer: Answer| {
+        move |b: &mut Book| {
+            (b.requests[0].left, b.requests[0].answers) = (left, vec![(12.0, answer), (12.1, answer)]);
+        }
+    };
+    assert_eq!(after(true, heard(Some(10.2), Answer::Failed)), []);
+    assert_eq!(after(true, heard(None, Answer::Failed)), [Rule::Lost]);
+    assert_eq!(after(true, heard(Some(10.2), Answer::Refused)), [Rule::Lost]);
+    // Nothing stood.
+    let never_stood = |b: &mut Book| {
+        heard(Some(10.2), Answer::Failed)(b);
+        b.attempts[0].answered = None;
+    };
+    assert_eq!(after(true, never_stood), [Rule::Lost]);
+}
