Review case 1: also a set-up in two segments, which is not the first request on its connection

Cause: the time limit for a message that came in part (2 s, reader.rs) fires in the same way after a stand-still of 1.9 s, though the rest of the message lies in the socket.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -137,6 +137,7 @@
         for (code, value) in &self.parameters {
             match code {
                 92 => line += &format!(" cause={}", value.first().unwrap_or(&0)),
+                94 if value.len() > 60 => line += &format!(" 94=({} bytes)", value.len()),
                 code => line += &format!(" {code}={}", String::from_utf8_lossy(value)),
             }
         }
@@ -675,6 +676,29 @@
 
 // ---- viewers ----
 
+/// A viewer's set-up; `more` goes behind its description.
+pub fn set_up(
+    session: u64,
+    class: &str,
+    wait_ms: u64,
+    title: &str,
+    home: usize,
+    copies: usize,
+    more: &str,
+) -> Message {
+    let figures = format!("home:{home};copies:{copies};top:4;viewer:{session:016x}");
+    let (wait, description) = (wait_ms.to_string(), format!("asked {session:016x}{more}"));
+    let parameters: [(u8, &[u8]); 6] = [
+        (64, class.as_bytes()),
+        (66, wait.as_bytes()),
+        (68, b"flexhuset"),
+        (72, title.as_bytes()),
+        (74, figures.as_bytes()),
+        (94, description.as_bytes()),
+    ];
+    Message::new(SET_UP, session, &parameters)
+}
+
 /// A connection from viewers; all that it receives is kept with its time.
 pub struct ViewerConnection {
     pub name: String,
@@ -717,23 +741,14 @@
         (&self.socket).write_all(&message.bytes()).is_ok()
     }
 
+    /// Writes bytes of a message that is recorded by its caller.
+    pub fn write(&self, bytes: &[u8]) -> bool {
+        (&self.socket).write_all(bytes).is_ok()
+    }
+
     /// Sends a set-up with a description of its own.
     pub fn set_up(&self, session: u64, class: &str, wait_ms: u64, title: &str, home: usize, copies: usize) -> bool {
-        let figures = format!("home:{home};copies:{copies};top:4;viewer:{session:016x}");
-        let wait = wait_ms.to_string();
-        let description = format!("asked {session:016x}");
-        self.send(&Message::new(
-            SET_UP,
-            session,
-            &[
-                (64, class.as_bytes()),
-                (66, wait.as_bytes()),
-                (68, b"flexhuset"),
-                (72, title.as_bytes()),
-                (74, figures.as_bytes()),
-                (94, description.as_bytes()),
-            ],
-        ))
+        self.send(&set_up(session, class, wait_ms, title, home, copies, ""))
     }
 
     pub fn test(&self, number: u64) -> bool {
@@ -753,13 +768,15 @@
     /// Waits for a message about a session.
     pub fn wait_for(&self, session: u64, seconds: f64) -> Option<Message> {
         let until = now() + seconds;
-        while now() < until {
+        loop {
             if let Some((_, message)) = self.about(session).into_iter().find(|(_, m)| m.kind == ANSWER || m.kind == RELEASE) {
                 return Some(message);
             }
+            if now() >= until {
+                return None;
+            }
             sleep(Duration::from_millis(5));
         }
-        None
     }
 
     /// Closes the connection.
