--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -10,28 +10,33 @@
 
 fn main() {
     let (root, _, temporary) = arguments();
-    let (plays, full) = (Streamer::start("s-plays"), Streamer::start("s-full"));
-    full.set_mode(Mode::Full);
-    let list = [entry("s-plays", plays.address, 0, "in_service", 0), entry("s-full", full.address, 1, "in_service", 0)];
+    // Six streamers; each title lies on three. The last three run as many streams as they can.
+    let streamers: Vec<_> = (0..6).map(|i| Streamer::start(&format!("s-{i}"))).collect();
+    streamers[3..].iter().for_each(|streamer| streamer.set_mode(Mode::Full));
+    let list: Vec<String> =
+        streamers.iter().enumerate().map(|(i, s)| entry(&format!("s-{i}"), s.address, i, "in_service", 0)).collect();
     let journal = Journal::start(&list.join(","));
     let controllers: Vec<Controller> =
-        (0..2).map(|me| Controller::start(&root, &temporary, me, 2, &journal)).collect();
+        (0..2).map(|me| Controller::start(&root, &temporary, me, 6, &journal)).collect();
     controllers.iter().for_each(Controller::wait_ready);
     wait_until(6.0);
 
     let first = ViewerConnection::open("v1", controllers[0].listen);
-    first.set_up(SESSION, "genafspil", 5000, "7f3a9c21e0b4d655", 0, 1);
+    first.set_up(SESSION, "genafspil", 5000, "7f3a9c21e0b4d655", 0, 3);
     match first.wait_for(SESSION, 6.0) {
         Some(answer) if answer.kind == ANSWER => {}
         _ => cannot_run("the session was not set up"),
     }
+    let Some(plays) = streamers.iter().find(|streamer| streamer.stands(SESSION)) else {
+        cannot_run("the session stands at no streamer")
+    };
     // The connection rests for 2 s.
     wait_until(8.0);
     if has_trouble() {
         first.close();
     }
-    // From here on there is always another connection from viewers. Its set-ups are refused, as the only streamer
-    // that holds their title is full; it carries no session, so it is closed after under 4 s, and the next is open.
+    // From here on there is always another connection from viewers. Its set-ups are refused, as the three
+    // streamers that hold their title are full; it carries no session, so it is closed after under 4 s, and the next is open.
     let (mut others, mut asked, mut end) = (Vec::<ViewerConnection>::new(), 0u64, None);
     let mut tested = 0.0;
     loop {
@@ -54,7 +59,7 @@
             tested = now();
             asked += 1;
             other.test(asked);
-            other.set_up(0xa5ce_0000_0000_0000 + asked, "genafspil", 5000, "00c4c4c4c4c4c4c4", 1, 1);
+            other.set_up(0xa5ce_0000_0000_0000 + asked, "genafspil", 5000, "00c4c4c4c4c4c4c4", 3, 3);
         }
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
