--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -469,7 +469,7 @@
         if now - self.links_checked_at >= LINK_CHECK_INTERVAL {
             self.check_links(now, now - self.links_checked_at);
             self.links_checked_at = now;
-            self.unsent_releases.retain(|(until, _)| now <= *until);
+            self.drop_expired_releases(now);
             self.unproven.retain(|unproven| now <= unproven.until);
             self.ended.remove_expired(now);
             self.resend_releases(now);
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -106,6 +106,16 @@
         let link = on.link;
         if let Some(streamer_link) = self.links.get_mut(&link) {
             streamer_link.link.connected(now);
+            let streamer = &streamer_link.streamer;
+            let known = self.streamers.get(streamer);
+            let address = known.map_or("", |known| &known.entry.address);
+            let sessions = self
+                .sessions
+                .values()
+                .filter(|tracked| tracked.streamer == *streamer && tracked.playing_since.is_some());
+            tracing::info!(
+                target: "streamers", streamer = &**streamer, ?on, address, playing = sessions.count(), "connected"
+            );
             if let Some(known) = self.streamers.get_mut(&streamer_link.streamer) {
                 known.unreachable_since = None;
             }
--- a/crates/lemontide-platform/src/dispatcher/list.rs
+++ b/crates/lemontide-platform/src/dispatcher/list.rs
@@ -79,7 +79,9 @@
         };
         let is_up = |link: &u64| self.links.get(link).is_some_and(|streamer_link| streamer_link.link.is_up());
         let links = known.link_ids.clone();
-        if !links.iter().any(is_up) {
+        let has_connection = links.iter().any(is_up);
+        tracing::info!(target: "streamers", streamer, has_connection, "gone from the list");
+        if !has_connection {
             // Its address may belong to another streamer by now. It is not dialled any more, so it will not report the
             // end of its sessions.
             self.end_sessions_at(now, streamer, |_| true);
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -433,6 +433,18 @@
         self.apply_actions(now);
     }
 
+    /// Drops the releases to viewers that found no connection in time.
+    pub(super) fn drop_expired_releases(&mut self, now: Point) {
+        self.unsent_releases.retain(|(until, message)| {
+            let is_kept = now <= *until;
+            if !is_kept {
+                let session = format!("{:016x}", message.session);
+                tracing::warn!(target: "viewers", session, "release dropped: no connection in time");
+            }
+            is_kept
+        });
+    }
+
     /// Releases a session to its viewer, on the viewer's own connection or on any other viewer connection.
     pub(super) fn release_to_viewer(&mut self, now: Point, connection_id: u64, session: u64, why: u8) {
         let own = self.viewer_connections.contains_key(&connection_id).then_some(connection_id);
@@ -454,10 +466,14 @@
                 });
             }
             None if self.unsent_releases.len() < MAX_UNSENT_RELEASES => {
+                let open = self.viewer_connections.len();
+                tracing::info!(target: "viewers", session = format!("{session:016x}"), why, open, "release waits for a connection");
                 self.unsent_releases
                     .push_back((now + RELEASE_RETENTION, Message { session, body: Body::release(why) }));
             }
-            None => {}
+            None => {
+                tracing::warn!(target: "viewers", session = format!("{session:016x}"), why, "release dropped: too many wait")
+            }
         }
     }
 }
