--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -5,6 +5,7 @@
 //! the outcome of each attempt to the module by the table in `docs/design/controller.md`.
 
 mod attempts;
+mod client_releases;
 mod connections;
 mod ended;
 mod list;
@@ -20,6 +21,7 @@
 use crate::steps::{Outcome, Steps};
 use crate::viewers::Outgoing;
 use bytes::Bytes;
+use client_releases::{ClientReleases, ViewerEvidence};
 use ended::EndedSessions;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, SessionHandle};
@@ -39,7 +41,7 @@
 const ANSWER_MARGIN: Span = Span::of_millis(40);
 /// Interval between checks of all links to streamers.
 const LINK_CHECK_INTERVAL: Span = Span::of_millis(100);
-/// How long a release is kept that no connection could take or that its streamer is not known to have read.
+/// How long a release is kept that its streamer is not known to have read.
 const RELEASE_RETENTION: Span = Span::of_millis(8000);
 /// How long an attempt that was not proven over is remembered after its request ended.
 const UNPROVEN_RETENTION: Span = Span::of_millis(8000);
@@ -314,8 +316,8 @@
     unanswered: usize,
     /// Set-ups that were read on it and are not decided.
     undecided: usize,
-    /// Whether a session was set up on it.
-    has_set_up: bool,
+    /// What shows that it belongs to a viewer.
+    evidence: ViewerEvidence,
     last_message_at: Point,
     /// Number of messages read on it.
     messages_read: u64,
@@ -345,8 +347,7 @@
     id_by_session: HashMap<u64, u32>,
     viewer_connections: BTreeMap<u64, ViewerConnection>,
     timers: BinaryHeap<Reverse<(Point, u32, u32)>>,
-    /// Releases to viewers that no connection could take yet, each with its end of retention.
-    unsent_releases: VecDeque<(Point, Message)>,
+    client_releases: ClientReleases,
     next_tick_at: Option<Point>,
     links_checked_at: Point,
     random: StdRng,
@@ -395,7 +396,7 @@
             id_by_session: HashMap::new(),
             viewer_connections: BTreeMap::new(),
             timers: BinaryHeap::new(),
-            unsent_releases: VecDeque::new(),
+            client_releases: ClientReleases::default(),
             next_tick_at: None,
             links_checked_at: now,
             random: StdRng::seed_from_u64(seed),
@@ -469,7 +470,7 @@
         if now - self.links_checked_at >= LINK_CHECK_INTERVAL {
             self.check_links(now, now - self.links_checked_at);
             self.links_checked_at = now;
-            self.drop_expired_releases(now);
+            self.forget_sent_releases(now);
             self.unproven.retain(|unproven| now <= unproven.until);
             self.ended.remove_expired(now);
             self.resend_releases(now);
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -124,19 +124,8 @@
         }
         if let Some(viewer_connection) = self.viewer_connections.get_mut(&connection_id) {
             viewer_connection.unanswered = viewer_connection.unanswered.saturating_sub(1);
-            viewer_connection.has_set_up = true;
-        }
-        for (until, message) in std::mem::take(&mut self.unsent_releases) {
-            if now <= until {
-                self.effects.push(Effect::SendToViewer {
-                    conn: connection_id,
-                    message,
-                    ends_session: true,
-                    reply: None,
-                    steps: None,
-                });
-            }
         }
+        self.add_viewer_evidence(now, connection_id, ViewerEvidence::Session);
     }
 
     /// A time limit of an attempt has passed: it was not written in time, was not answered in time, or was not proven
@@ -347,14 +336,13 @@
     pub(super) fn end_session(&mut self, now: Point, id: u32, ending: AttemptOutcome, load: Load) {
         self.report_ended(now, id, ending, load);
         let Some(tracked) = self.remove(now, id) else { return };
-        match ending {
-            AttemptOutcome::Served => {
-                self.release_to_viewer(now, tracked.connection_id, tracked.session, cause::NORMAL)
-            }
+        let why = match ending {
+            AttemptOutcome::Served => cause::NORMAL,
             // The viewer ended the session and is owed nothing.
-            AttemptOutcome::Cancelled => {}
-            _ => self.release_to_viewer(now, tracked.connection_id, tracked.session, cause::FAILED),
-        }
+            AttemptOutcome::Cancelled => return,
+            _ => cause::FAILED,
+        };
+        self.owe_release(now, tracked.connection_id, tracked.session, Body::release(why));
     }
 
     /// Reports to the module how an attempt or a playing session ended.
@@ -397,7 +385,7 @@
                     true,
                     Load::default(),
                 );
-                self.send_to_viewer(tracked.connection_id, tracked.session, Body::Move);
+                self.owe_release(now, tracked.connection_id, tracked.session, Body::Move);
             }
             if is_empty {
                 return;
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -11,8 +11,6 @@
 const REJECTED_SESSIONS_KEPT: usize = 32;
 /// How long set-ups are accepted as usual after SIGTERM; later ones are rejected.
 const STOP_GRACE: Span = Span::of_millis(600);
-/// Maximum number of releases to viewers that wait for a connection; further ones are dropped.
-const MAX_UNSENT_RELEASES: usize = 4096;
 
 impl Dispatcher {
     /// A viewer connection is open.
@@ -20,7 +18,7 @@
         let connection = ViewerConnection {
             unanswered: 0,
             undecided: 0,
-            has_set_up: false,
+            evidence: ViewerEvidence::None,
             last_message_at: now,
             messages_read: 0,
             closes_if_idle: false,
@@ -48,8 +46,10 @@
         let idle = self.viewer_connections.iter().filter(|(_, connection)| {
             connection.is_idle() && !connection.closes_if_idle && !connection.is_draining
         });
-        idle.min_by_key(|(_, connection)| (connection.has_set_up, connection.last_message_at))
-            .map(|(connection_id, _)| *connection_id)
+        idle.min_by_key(|(_, connection)| {
+            (connection.evidence == ViewerEvidence::Session, connection.last_message_at)
+        })
+        .map(|(connection_id, _)| *connection_id)
     }
 
     /// Sends the idle connection a command to close, one connection at a time. A message that is read on it meanwhile
@@ -68,15 +68,13 @@
         }
     }
 
-    /// Messages that were not sent when a connection ended. Releases are sent over another connection; a session whose
-    /// set-up its viewer did not learn of is ended.
-    pub fn on_unsent(&mut self, now: Point, all: Vec<Outgoing>) {
+    /// Messages that did not reach the client when a connection ended. Releases are sent over another connection; a
+    /// session whose set-up its viewer did not learn of is ended.
+    pub fn on_unsent(&mut self, now: Point, connection_id: u64, all: Vec<Outgoing>) {
         for Outgoing { message, ends_session, reply, .. } in all {
             reply.into_iter().for_each(|reply| reply.client_gone(Departure::Closed));
             match message.body {
-                Body::Release { cause, .. } if ends_session => {
-                    self.release_to_viewer(now, 0, message.session, cause)
-                }
+                _ if ends_session => self.on_release_unsent(now, connection_id, message.session),
                 Body::Answer { .. } => {
                     let id = self.id_by_session.get(&message.session).copied();
                     let plays = |id: &u32| {
@@ -113,6 +111,13 @@
         viewer_connection.messages_read += 1;
         viewer_connection.closes_if_idle = false;
         let session = message.session;
+        let evidence = match &message.body {
+            Body::Test | Body::Release { .. } | Body::Acknowledged | Body::Progress => {
+                ViewerEvidence::Message
+            }
+            // That a set-up is usable shows when it is decided.
+            _ => ViewerEvidence::None,
+        };
         match message.body {
             Body::Test => self.send_to_viewer(connection_id, session, Body::TestResult { passed: true }),
             body @ (Body::SetUp(_) | Body::Invalid(_)) => {
@@ -153,10 +158,14 @@
                     // A connection can't cancel a request of another.
                     Some(_) => {}
                     // The session may still be handed over, on another connection.
-                    None => self.remember_untracked_end(session, UntrackedEnd::ByViewer),
+                    None => {
+                        self.client_releases.remove(session);
+                        self.remember_untracked_end(session, UntrackedEnd::ByViewer);
+                    }
                 }
             }
-            Body::Acknowledged | Body::Progress | Body::TestResult { .. } => {}
+            Body::Acknowledged => self.client_releases.remove(session),
+            Body::Progress | Body::TestResult { .. } => {}
             // Only streamers and controllers send these.
             Body::Answer { .. }
             | Body::SessionReport(_)
@@ -166,6 +175,7 @@
                 self.close_when_answered(now, connection_id);
             }
         }
+        self.add_viewer_evidence(now, connection_id, evidence);
         self.apply_actions(now);
     }
 
@@ -329,8 +339,12 @@
     fn hand_over(&mut self, now: Point, of: (u64, u64), mut set_up: SetUp, read: (Point, Span)) {
         let (connection_id, session) = of;
         let Some(streamer) = set_up.plays_at().cloned() else { return };
-        // The session may be tracked already.
-        if self.why_unusable(of, &set_up).is_some() || self.id_by_session.contains_key(&session) {
+        if self.why_unusable(of, &set_up).is_some() {
+            return;
+        }
+        self.add_viewer_evidence(now, connection_id, ViewerEvidence::SetUp);
+        // The session may be tracked already, or have ended here while its hand-over was on the way.
+        if self.id_by_session.contains_key(&session) || self.ended.contains(session) {
             return;
         }
         // The end of the session may have arrived before its hand-over.
@@ -339,7 +353,7 @@
             Some(UntrackedEnd::ByStreamer(cause::CANCELLED)) => return,
             Some(UntrackedEnd::ByStreamer(why)) => {
                 let why = if why == cause::NORMAL { why } else { cause::FAILED };
-                return self.release_to_viewer(now, connection_id, session, why);
+                return self.owe_release(now, connection_id, session, Body::release(why));
             }
             Some(UntrackedEnd::ByViewer) => {
                 return self.release_at_streamer(now, &streamer.as_str().into(), session)
@@ -347,7 +361,7 @@
             None => {}
         }
         let Some((streamer, _)) = self.streamers.get_key_value(&*streamer) else {
-            return self.release_to_viewer(now, connection_id, session, cause::FAILED);
+            return self.owe_release(now, connection_id, session, Body::release(cause::FAILED));
         };
         let streamer = streamer.clone();
         let id = self.next_id();
@@ -371,6 +385,7 @@
         {
             return self.refuse(now, reply);
         }
+        self.add_viewer_evidence(now, connection_id, ViewerEvidence::SetUp);
         let viewer_connection = self.viewer_connections.get(&connection_id);
         if viewer_connection
             .is_some_and(|viewer_connection| viewer_connection.rejected_sessions.contains(&session))
@@ -432,50 +447,6 @@
         );
         self.apply_actions(now);
     }
-
-    /// Drops the releases to viewers that found no connection in time.
-    pub(super) fn drop_expired_releases(&mut self, now: Point) {
-        self.unsent_releases.retain(|(until, message)| {
-            let is_kept = now <= *until;
-            if !is_kept {
-                let session = format!("{:016x}", message.session);
-                tracing::warn!(target: "viewers", session, "release dropped: no connection in time");
-            }
-            is_kept
-        });
-    }
-
-    /// Releases a session to its viewer, on the viewer's own connection or on any other viewer connection.
-    pub(super) fn release_to_viewer(&mut self, now: Point, connection_id: u64, session: u64, why: u8) {
-        let own = self.viewer_connections.contains_key(&connection_id).then_some(connection_id);
-        let good = self
-            .viewer_connections
-            .iter()
-            .filter(|(_, connection)| connection.has_set_up)
-            .max_by_key(|(_, connection)| connection.last_message_at);
-        match own.or(good.map(|(connection_id, _)| *connection_id)) {
-            Some(connection_id) => {
-                tracing::debug!(target: "viewers", session = format!("{session:016x}"), conn = connection_id, why, "release");
-                let message = Message { session, body: Body::release(why) };
-                self.effects.push(Effect::SendToViewer {
-                    conn: connection_id,
-                    message,
-                    ends_session: true,
-                    reply: None,
-                    steps: None,
-                });
-            }
-            None if self.unsent_releases.len() < MAX_UNSENT_RELEASES => {
-                let open = self.viewer_connections.len();
-                tracing::info!(target: "viewers", session = format!("{session:016x}"), why, open, "release waits for a connection");
-                self.unsent_releases
-                    .push_back((now + RELEASE_RETENTION, Message { session, body: Body::release(why) }));
-            }
-            None => {
-                tracing::warn!(target: "viewers", session = format!("{session:016x}"), why, "release dropped: too many wait")
-            }
-        }
-    }
 }
 
 /// The answer to a rejected request, with the time after which it may be repeated, if there is one.
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -160,7 +160,7 @@
                         }
                         let departure = if is_full { Departure::NotReading } else { Departure::Closed };
                         dispatcher.on_viewer_gone(now, connection_id, departure);
-                        dispatcher.on_unsent(now, vec![*unsent]);
+                        dispatcher.on_unsent(now, connection_id, vec![*unsent]);
                     }
                     Effect::CloseIfIdle { conn: connection_id, messages_read } => {
                         // If the channel is full, the client does not read: the connection is not idle, and ends by
@@ -209,9 +209,11 @@
             viewers::Report::Closed { connection_id, departure, unwritten } => {
                 self.viewers.remove(&connection_id);
                 dispatcher.on_viewer_gone(now, connection_id, departure);
-                dispatcher.on_unsent(now, unwritten);
+                dispatcher.on_unsent(now, connection_id, unwritten);
+            }
+            viewers::Report::Unread { connection_id, unread } => {
+                dispatcher.on_unsent(now, connection_id, unread)
             }
-            viewers::Report::Unread { unread } => dispatcher.on_unsent(now, unread),
         }
     }
 
@@ -328,7 +330,9 @@
         empty_since = (dispatcher.tracked_count() == 0).then(|| empty_since.unwrap_or(now()));
         if let Some(since) = stopping_since {
             let stop_time = now() - since;
-            let is_all_sent = empty_since.is_some_and(|since| now() - since >= LAST_MESSAGES_TIME);
+            // A release that waits for a connection would be lost with the process.
+            let is_all_sent = !dispatcher.owes_release()
+                && empty_since.is_some_and(|since| now() - since >= LAST_MESSAGES_TIME);
             let owes_nothing = dispatcher.replies().open_count() == 0;
             if owes_nothing && (stop_time >= MIN_STOP_TIME && is_all_sent || stop_time >= max_stop_time) {
                 break;
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -43,7 +43,7 @@
     /// counts if an answer was still owed.
     Closed { connection_id: u64, departure: Departure, unwritten: Vec<Outgoing> },
     /// Messages that were written on a connection that has ended, and not read by its client.
-    Unread { unread: Vec<Outgoing> },
+    Unread { connection_id: u64, unread: Vec<Outgoing> },
 }
 
 /// A message to a viewer.
@@ -297,7 +297,7 @@
             unread = unread.len(),
             "connection reset with unread messages"
         );
-        let _ = reports.send(Report::Unread { unread }).await;
+        let _ = reports.send(Report::Unread { connection_id, unread }).await;
     }
 }
 
--- a/crates/lemontide-platform/tests/unread.rs
+++ b/crates/lemontide-platform/tests/unread.rs
@@ -37,7 +37,9 @@
             Report::Closed { unwritten, .. } => {
                 returned.extend(unwritten.iter().map(|unsent| unsent.message.session))
             }
-            Report::Unread { unread } => returned.extend(unread.iter().map(|unsent| unsent.message.session)),
+            Report::Unread { unread, .. } => {
+                returned.extend(unread.iter().map(|unsent| unsent.message.session))
+            }
         }
     }
     returned
