--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -208,6 +208,9 @@
     /// The connection that carries the messages about the session to its streamer while it plays: messages keep their
     /// order only within one connection.
     control_connection: Option<Connection>,
+    /// The connection on which its streamer spoke of it last. It leads to the process that the session plays in for as
+    /// long as it is up; what is dialled later at the same address may be another process.
+    heard_on: Option<Connection>,
 }
 
 impl TrackedSession {
@@ -236,6 +239,7 @@
             previous_streamers: Vec::new(),
             playing_since: None,
             control_connection: None,
+            heard_on: None,
         }
     }
 
@@ -253,11 +257,31 @@
 
 struct KnownStreamer {
     entry: ListEntry,
+    /// Number of the change of the list that gave it its address; 0 if it was never listed there as ready. Only a new
+    /// process takes an address over, and it is ready first.
+    address_since: u64,
+    /// Another streamer has got its address since, so its process is gone, whether the list says so yet or not.
+    is_superseded: bool,
     link_ids: Vec<u64>,
     /// Since when no connection to it could be established.
     unreachable_since: Option<Point>,
 }
 
+impl KnownStreamer {
+    fn state(&self) -> StreamerState {
+        if self.is_superseded {
+            StreamerState::Gone
+        } else {
+            self.entry.streamer_state()
+        }
+    }
+
+    /// The entry as the module takes it.
+    fn module_entry(&self) -> StreamerEntry {
+        StreamerEntry { state: self.state(), ..self.entry.to_streamer_entry() }
+    }
+}
+
 /// A link to a streamer, with one connection at a time.
 struct StreamerLink {
     streamer: Arc<str>,
@@ -341,6 +365,8 @@
     controller: Controller,
     settings: DispatcherSettings,
     streamers: BTreeMap<Arc<str>, KnownStreamer>,
+    /// Number of changes of the list so far.
+    list_changes: u64,
     links: BTreeMap<u64, StreamerLink>,
     /// Ordered, so that the same events give the same effects.
     sessions: BTreeMap<u32, TrackedSession>,
@@ -391,6 +417,7 @@
             controller: Controller::new(now, seed, &controller_settings),
             settings,
             streamers: BTreeMap::new(),
+            list_changes: 0,
             links: BTreeMap::new(),
             sessions: BTreeMap::new(),
             id_by_session: HashMap::new(),
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -106,6 +106,7 @@
         let steps = Self::steps(tracked, Outcome::Plays, now);
         if let Some(attempt) = tracked.attempt.take() {
             tracked.control_connection = Some(attempt.on);
+            tracked.heard_on = Some(attempt.on);
             if let Some(streamer_link) = self.links.get_mut(&attempt.on.link) {
                 streamer_link.pending_set_ups = streamer_link.pending_set_ups.saturating_sub(1);
             }
@@ -251,7 +252,7 @@
         let waiting: Vec<_> =
             self.sessions.iter().filter_map(|(id, tracked)| Some((*id, waits(tracked)?))).collect();
         for (id, (session, streamer)) in waiting {
-            let state = self.streamers.get(&streamer).map(|known| known.entry.streamer_state());
+            let state = self.streamers.get(&streamer).map(KnownStreamer::state);
             if state.is_none_or(|state| state == StreamerState::Gone) {
                 // The streamer closed its connection, and the list does not contain it any more or marks it as gone.
                 let attempt = self.sessions.get(&id).and_then(|tracked| tracked.attempt.as_ref());
@@ -436,7 +437,7 @@
             // Guards against a request that waits for ever for an attempt at a streamer that is not known.
             return self.report_ended(now, id, AttemptOutcome::NotSent, Load::default());
         };
-        let (streamer, is_ready) = (streamer.clone(), known.entry.streamer_state() == StreamerState::Ready);
+        let (streamer, is_ready) = (streamer.clone(), known.state() == StreamerState::Ready);
         let link = self.best_link(&streamer);
         let Some(tracked) = self.sessions.get_mut(&id) else { return };
         let deadline = now + new_attempt.timeout;
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -92,6 +92,22 @@
         test
     }
 
+    /// The process at the other end of this connection holds the session.
+    fn confirm_process(&mut self, id: u32, on: Connection) {
+        if !self.is_current(on) {
+            return;
+        }
+        if let Some(tracked) = self.sessions.get_mut(&id) {
+            tracked.heard_on = Some(on);
+        }
+    }
+
+    /// Whether this connection is up.
+    pub(super) fn is_up(&self, on: Connection) -> bool {
+        let link = self.links.get(&on.link).map(|streamer_link| &streamer_link.link);
+        link.is_some_and(|link| link.dial == on.dial && link.is_up())
+    }
+
     /// Whether this connection is the current one of its link, and up or being dialled.
     pub(super) fn is_current(&self, on: Connection) -> bool {
         let link = self.links.get(&on.link).map(|streamer_link| &streamer_link.link);
@@ -201,7 +217,7 @@
         }
         let is_kept = known.link_ids.contains(&link);
         let unreachable_since = is_last.then(|| *known.unreachable_since.get_or_insert(now));
-        let is_gone = known.entry.streamer_state() == StreamerState::Gone;
+        let is_gone = known.state() == StreamerState::Gone;
         let can_redial = |streamer_link: &StreamerLink| {
             streamer_link.link.idle_since.is_none() && streamer_link.link.can_dial(now)
         };
@@ -217,7 +233,7 @@
         let unreached = loss == ConnectionLoss::DialFailed
             && unreachable_since.is_some_and(|since| now - since >= UNREACHABLE_LIMIT);
         if is_last && (loss == ConnectionLoss::Refused || unreached || is_gone) {
-            self.end_sessions_at(now, &streamer, |_| true);
+            self.end_sessions_at(now, &streamer, |_, _| true);
         }
         if is_gone {
             self.remove_if_gone(now, &streamer);
@@ -332,18 +348,21 @@
                 }
                 self.end_session(now, id, ending, load);
             }
-            Body::SessionReport(note) if plays => match note {
-                SessionReport::RateShare(share) => {
-                    handle.shortfall_reported(&mut self.controller, now, share.clamp(0.0, 1.0))
-                }
-                SessionReport::Rung(rung) => handle.rung_reported(&mut self.controller, now, rung),
-                SessionReport::LinkUtilization(full) => {
-                    handle.load_reported(&mut self.controller, now, Load::of_link(full))
+            Body::SessionReport(note) if plays => {
+                self.confirm_process(id, on);
+                match note {
+                    SessionReport::RateShare(share) => {
+                        handle.shortfall_reported(&mut self.controller, now, share.clamp(0.0, 1.0))
+                    }
+                    SessionReport::Rung(rung) => handle.rung_reported(&mut self.controller, now, rung),
+                    SessionReport::LinkUtilization(full) => {
+                        handle.load_reported(&mut self.controller, now, Load::of_link(full))
+                    }
+                    SessionReport::UplinkUtilization(full) => {
+                        handle.load_reported(&mut self.controller, now, Load::of_uplink(full))
+                    }
                 }
-                SessionReport::UplinkUtilization(full) => {
-                    handle.load_reported(&mut self.controller, now, Load::of_uplink(full))
-                }
-            },
+            }
             _ => {}
         }
         self.apply_actions(now);
@@ -432,7 +451,9 @@
         }
         let can_dial = self.can_dial();
         let Some(streamer_link) = self.links.get_mut(&link).filter(|_| can_dial) else { return };
-        let Some(known) = self.streamers.get(&streamer_link.streamer) else { return };
+        let known = self.streamers.get(&streamer_link.streamer);
+        // The address of a streamer that is gone may belong to another one.
+        let Some(known) = known.filter(|known| known.state() != StreamerState::Gone) else { return };
         let dial = streamer_link.link.start_dial(now, self.settings.dial_timeout);
         let on = Connection { link, dial };
         self.effects.push(Effect::Dial { on, address: known.entry.address.clone() });
@@ -527,7 +548,8 @@
     /// Dials a streamer that a message is to be sent to at once, without waiting for the redial delay, and returns the
     /// link if the dial began.
     pub(super) fn dial_now(&mut self, now: Point, streamer: &Arc<str>) -> Option<u64> {
-        let links = &self.streamers.get(streamer)?.link_ids;
+        let known = self.streamers.get(streamer).filter(|known| known.state() != StreamerState::Gone)?;
+        let links = &known.link_ids;
         if links.is_empty() {
             self.add_link(now, streamer);
             return Some(self.last_link).filter(|link| self.links[link].link.is_dialling());
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -360,10 +360,15 @@
             }
             None => {}
         }
-        let Some((streamer, _)) = self.streamers.get_key_value(&*streamer) else {
+        let listed = self.streamers.get_key_value(&*streamer);
+        let Some((streamer, state)) = listed.map(|(streamer, known)| (streamer.clone(), known.state()))
+        else {
             return self.owe_release(now, connection_id, session, Body::release(cause::FAILED));
         };
-        let streamer = streamer.clone();
+        if state == StreamerState::Gone {
+            self.release_at_streamer(now, &streamer, session);
+            return self.owe_release(now, connection_id, session, Body::release(cause::FAILED));
+        }
         let id = self.next_id();
         let request = self.build_request(id, &set_up, read);
         let deadline = request.deadline;
