Soak draws servers that take over an address and clients that rest, and judges releases by time

New are Succeed (a server drains, its process ends, another one is at the address at once; the list tells of both later) and Rest (the clients of a node close their connections and send only tests for 1 to 3 s).

The judge is stricter: a release counts only until it is due (before, any later end of the session excused it), and a session whose server's process died must be released within 8 s, or 1 s after the node was informed where that is later, as the list alone can show it.

--- a/crates/lemontide-standin/src/soak/client.rs
+++ b/crates/lemontide-standin/src/soak/client.rs
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use lemontide_platform::codec::{cause, Body, Codec, Message, RequestDetails, SetUp};
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,6 +46,9 @@
     pub run_until: f64,
     /// The total of requests that each client has to send in bursts, up to now.
     pub rush_requests: watch::Sender<usize>,
+    /// When the clients rest: they close the connections that they have once no request on them is open, and send only
+    /// tests.
+    pub rest: watch::Sender<Range<f64>>,
 }
 
 /// Bytes for the writer of a connection.
@@ -235,11 +239,18 @@
         let mut leave_times: Vec<(f64, u64)> = Vec::new();
         let mut rush_requests = self.context.rush_requests.subscribe();
         let mut rush_requests_sent = *rush_requests.borrow_and_update();
+        let mut rest = self.context.rest.subscribe();
+        let opened_at = self.context.recorder.now();
         loop {
             let now = self.context.recorder.now();
             if now >= self.context.run_until || *status.borrow_and_update() == NodeStatus::Down {
                 return Vec::new();
             }
+            let begins_to_rest = now < rest.borrow_and_update().end && opened_at < rest.borrow().start;
+            if begins_to_rest && self.unanswered.is_empty() {
+                self.leave_all();
+                return Vec::new();
+            }
             let due = leave_times.iter().map(|(at, _)| *at).fold(next, f64::min);
             tokio::select! {
                 read = socket.read_buf(&mut bytes) => {
@@ -255,6 +266,7 @@
                     }
                 }
                 _ = status.changed() => {}
+                _ = rest.changed() => {}
                 _ = rush_requests.changed() => {
                     let requests = *rush_requests.borrow_and_update();
                     (rush_requests_sent..requests).for_each(|_| leave_times.extend(self.send()));
@@ -292,6 +304,11 @@
         if now >= self.context.last_request_at || self.sending_stopped {
             return None;
         }
+        if now < self.context.rest.borrow().end {
+            let test = encode_message(Message { session: 0, body: Body::Test });
+            let _ = self.writes.send(OutgoingBytes::new(test));
+            return None;
+        }
         *self.request_count += 1;
         let (plan, recorder) = (&self.context.plan, &self.context.recorder);
         let hash_key = ((self.context.node.index as u64) << 40) | (self.client << 24) | *self.request_count;
@@ -483,8 +500,9 @@
 }
 
 /// Hands all established sessions over to a node that was started again, and logs their ends from there.
-pub async fn hand_over_all(context: Arc<ClientContext>, name: impl Fn(usize) -> String) {
-    let established: Vec<(Request, usize)> = {
+/// `name` gives the name that a server had at a time.
+pub async fn hand_over_all(context: Arc<ClientContext>, name: impl Fn(usize, f64) -> String) {
+    let established: Vec<(Request, usize, f64)> = {
         let event_log = context.recorder.event_log();
         let is_established = |request: &&Request| {
             let served = matches!(request.answers.first(), Some((_, Answer::Served)));
@@ -492,17 +510,21 @@
         };
         let server_of = |request: &Request| {
             let attempts = event_log.attempts.iter().rev().filter(|attempt| attempt.id == request.id);
-            attempts.clone().find(|attempt| attempt.answered_at.is_some()).map(|attempt| attempt.server)
+            attempts.clone().find_map(|attempt| Some((attempt.server, attempt.answered_at?)))
         };
         let established = event_log.requests.iter().filter(is_established);
-        established.filter_map(|request| Some((request.clone(), server_of(request)?))).collect()
+        let with_server = established.filter_map(|request| {
+            let (server, answered_at) = server_of(request)?;
+            Some((request.clone(), server, answered_at))
+        });
+        with_server.collect()
     };
     let Ok(Ok(mut socket)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(context.node.listen_address)).await
     else {
         return;
     };
-    for (request, server) in &established {
-        let message = hand_over(&context.plan, request, &name(*server));
+    for (request, server, answered_at) in &established {
+        let message = hand_over(&context.plan, request, &name(*server, *answered_at));
         if socket.write_all(&encode_message(message)).await.is_err() {
             return;
         }
--- a/crates/lemontide-standin/src/soak/event_log.rs
+++ b/crates/lemontide-standin/src/soak/event_log.rs
@@ -207,10 +207,17 @@
     pub client_closes: Vec<(f64, ClientConnection)>,
     /// When servers died, and which.
     pub server_crashes: Vec<(f64, usize)>,
+    /// When another server, with a name of its own, took over the address of one that had died, and of which.
+    pub successions: Vec<(f64, usize)>,
     pub cold_budget: Option<ColdBudget>,
 }
 
 impl EventLog {
+    /// The number of servers that the address of a server had before the one at a time.
+    pub fn predecessor_count(&self, server: usize, at: f64) -> usize {
+        self.successions.iter().filter(|(since, of)| *of == server && *since <= at).count()
+    }
+
     /// The request with this id.
     pub fn request(&mut self, id: u64) -> Option<&mut Request> {
         let at = *self.request_index_by_id.get(&id)?;
--- a/crates/lemontide-standin/src/soak/invariants.rs
+++ b/crates/lemontide-standin/src/soak/invariants.rs
@@ -27,6 +27,9 @@
 const MAX_ATTEMPT_AFTER_LEAVE_S: f64 = 0.3;
 /// A request that was sent within this time after SIGTERM may be unanswered at SIGKILL; a later one may not.
 const EXCUSED_AFTER_SIGTERM_S: f64 = 0.7;
+/// A client must have the release of a session that no server released this long after its end, and, where the list alone
+/// shows the end, this long after the node was informed of it.
+const RELEASE_WITHOUT_SERVER_WITHIN_S: f64 = 8.0;
 /// The release of an established session must reach its client this long after the server wrote it.
 const RELEASE_FORWARDED_WITHIN_S: f64 = 1.0;
 /// The share of node starts that must be ready within `READY_WITHIN_S`.
@@ -130,6 +133,7 @@
         let attempts = attempts.get(&request.id).unwrap_or(&none);
         violations.extend(answer_violation(event_log, request, attempts, end));
         violations.extend(missing_release(event_log, request, attempts, end));
+        violations.extend(missing_release_after_crash(event_log, request, attempts, end));
     }
     violations.extend(set_ups_while_draining(event_log));
     violations.extend(cold_server_violations(event_log));
@@ -253,18 +257,16 @@
     attempts: &[&Attempt],
     end: f64,
 ) -> Option<Violation> {
-    let served = matches!(request.answers.first(), Some((_, Answer::Served)));
-    if !served || request.ended_at.is_some() {
+    if !matches!(request.answers.first(), Some((_, Answer::Served))) {
         return None;
     }
     let established_attempt = attempts.iter().rev().find(|attempt| attempt.answered_at.is_some())?;
     let (written, _) = established_attempt.release_written?;
     let due = written + RELEASE_FORWARDED_WITHIN_S + TIMING_SLACK_S;
+    let is_released = request.ended_at.is_some_and(|at| at <= due);
     // A node that stops loses the releases it has received; the restarted one is sent them again.
-    let stops = |event| matches!(event, NodeEvent::Kill | NodeEvent::Terminate | NodeEvent::Exited { .. });
-    let node_stopped =
-        event_log.next_node_event(request.node, established_attempt.first_byte_at, stops).is_some();
-    (due < end && !node_stopped).then(|| {
+    let node_stopped = event_log.stopped_after(request.node, established_attempt.first_byte_at);
+    (due < end && !is_released && !node_stopped).then(|| {
         Violation::in_session(
             Invariant::ReleasesForwarded,
             request.id,
@@ -273,6 +275,40 @@
     })
 }
 
+/// When the process of a server dies, the node must release its sessions towards their clients.
+fn missing_release_after_crash(
+    event_log: &EventLog,
+    request: &Request,
+    attempts: &[&Attempt],
+    end: f64,
+) -> Option<Violation> {
+    if !matches!(request.answers.first(), Some((_, Answer::Served))) {
+        return None;
+    }
+    let established_attempt = attempts.iter().rev().find(|attempt| attempt.answered_at.is_some())?;
+    let (ended, _) = established_attempt.ended.filter(|(_, how)| *how == AttemptEnd::SessionEnded)?;
+    if !event_log.server_crashes.contains(&(ended, established_attempt.server)) {
+        return None;
+    }
+    let is_removal = |change: &&ListChange| {
+        change.server == established_attempt.server && change.state == ListState::Gone && change.at >= ended
+    };
+    let removal = event_log.list_changes.iter().find(is_removal);
+    let informed = removal.map(|removal| {
+        let written = removal.sent_to_node_at[request.node];
+        informed_at(event_log, request.node, removal.at, written) + RELEASE_FORWARDED_WITHIN_S
+    });
+    let due = (ended + RELEASE_WITHOUT_SERVER_WITHIN_S).max(informed.unwrap_or(ended)) + TIMING_SLACK_S;
+    let is_released = request.ended_at.is_some_and(|at| at <= due);
+    let node_stopped = event_log.stopped_after(request.node, established_attempt.first_byte_at);
+    (due < end && !is_released && !node_stopped).then(|| {
+        let details = format!(
+            "its server's process died at {ended:.3}, no release was received by its client by {due:.3}"
+        );
+        Violation::in_session(Invariant::ReleasesForwarded, request.id, details)
+    })
+}
+
 /// When a node counts as informed of a list change that was made at `at` and written to it at `written`.
 fn informed_at(event_log: &EventLog, node: usize, at: f64, written: Option<f64>) -> f64 {
     let mut latest = at;
--- a/crates/lemontide-standin/src/soak/mod.rs
+++ b/crates/lemontide-standin/src/soak/mod.rs
@@ -165,6 +165,7 @@
                 last_request_at: plan.length_s - NO_NEW_REQUESTS_S,
                 run_until: plan.length_s + WAIT_AFTER_SCENARIO_S,
                 rush_requests: tokio::sync::watch::channel(0).0,
+                rest: tokio::sync::watch::channel(0.0..0.0).0,
             })
         };
         let client_contexts = nodes.iter().map(context).collect();
@@ -174,19 +175,32 @@
     /// Logs changes of the discovery list and publishes them to all nodes.
     fn change_list(&self, changes: &[(usize, ListState)], is_start: bool) {
         for (server, state) in changes {
-            let position = self.recorder.event_log().list_changes.len() as u64 + 1;
-            let change = new_list_change(&self.recorder, self.plan.node_count, *server, *state, position);
-            self.recorder.event_log().list_changes.push(change);
-            for (node, discovery) in self.discoveries.iter().enumerate() {
-                let entry = self.entry(node, *server, *state, is_start);
-                discovery.publish(is_start && *server == 0, vec![entry]);
-            }
+            let predecessors = self.recorder.event_log().predecessor_count(*server, self.recorder.now());
+            let name = server_name(self.plan.seed, *server, predecessors);
+            self.change_list_entry(&name, *server, *state, is_start);
+        }
+    }
+
+    /// Tells of a server that has gone, and of the one that is at its address now.
+    fn list_successor(&self, server: usize) {
+        let predecessors = self.recorder.event_log().predecessor_count(server, self.recorder.now());
+        let name = |predecessors| server_name(self.plan.seed, server, predecessors);
+        self.change_list_entry(&name(predecessors.saturating_sub(1)), server, ListState::Gone, false);
+        self.change_list_entry(&name(predecessors), server, ListState::Ready, false);
+    }
+
+    fn change_list_entry(&self, name: &str, server: usize, state: ListState, is_start: bool) {
+        let position = self.recorder.event_log().list_changes.len() as u64 + 1;
+        let change = new_list_change(&self.recorder, self.plan.node_count, server, state, position);
+        self.recorder.event_log().list_changes.push(change);
+        for (node, discovery) in self.discoveries.iter().enumerate() {
+            let entry = self.entry(node, name, server, state, is_start);
+            discovery.publish(is_start && server == 0, vec![entry]);
         }
     }
 
     /// The list entry of a server, as a node reads it.
-    fn entry(&self, node: usize, server: usize, state: ListState, is_start: bool) -> Json {
-        let name = server_name(self.plan.seed, server);
+    fn entry(&self, node: usize, name: &str, server: usize, state: ListState, is_start: bool) -> Json {
         let address = self.servers[server].address(node).to_string();
         let unix_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
@@ -201,9 +215,10 @@
     }
 }
 
-/// The name of a server in the discovery list.
-fn server_name(seed: u64, server: usize) -> String {
-    format!("s-{:08x}", (seeded_fraction(seed, 0x7365_7276, server as u64) * f64::from(u32::MAX)) as u32)
+/// The name in the discovery list of a server whose address had this many servers before.
+fn server_name(seed: u64, server: usize, predecessors: usize) -> String {
+    let key = (predecessors as u64) << 32 | server as u64;
+    format!("s-{:08x}", (seeded_fraction(seed, 0x7365_7276, key) * f64::from(u32::MAX)) as u32)
 }
 
 /// Applies a scheduled fault at its time.
@@ -224,6 +239,19 @@
             cluster.change_list(&[(server, ListState::Ready)], false);
             Ok(())
         }
+        Fault::Succeed { server, ends_after, told_after } => {
+            cluster.change_list(&[(server, ListState::Draining)], false);
+            sleep(Duration::from_secs_f64(ends_after)).await;
+            cluster.servers[server].succeed();
+            sleep(Duration::from_secs_f64(told_after)).await;
+            cluster.list_successor(server);
+            Ok(())
+        }
+        Fault::Rest { node, seconds } => {
+            let now = cluster.recorder.now();
+            cluster.client_contexts[node].rest.send_replace(now..now + seconds);
+            Ok(())
+        }
         Fault::Restart { node } => {
             restart_and_hand_over(&cluster, node, cluster.nodes[node].clone().restart()).await
         }
@@ -275,8 +303,11 @@
     start: impl std::future::Future<Output = io::Result<()>>,
 ) -> io::Result<()> {
     start.await?;
-    let seed = cluster.plan.seed;
-    let name = move |server| server_name(seed, server);
+    let (seed, recorder) = (cluster.plan.seed, cluster.recorder.clone());
+    let name = move |server, at| {
+        let predecessors = recorder.event_log().predecessor_count(server, at);
+        server_name(seed, server, predecessors)
+    };
     tokio::spawn(client::hand_over_all(cluster.client_contexts[node].clone(), name));
     Ok(())
 }
--- a/crates/lemontide-standin/src/soak/plan.rs
+++ b/crates/lemontide-standin/src/soak/plan.rs
@@ -37,6 +37,11 @@
     /// A server drains, then its process ends and it is listed as gone, then a new process replaces it. Delays are in
     /// seconds.
     Replace { server: usize, gone_after: f64, back_after: f64 },
+    /// A server drains, then its process ends and another server is at its address at once; the list tells of both
+    /// later. Delays are in seconds.
+    Succeed { server: usize, ends_after: f64, told_after: f64 },
+    /// The clients of a node close their connections, and send only tests on new ones for a while.
+    Rest { node: usize, seconds: f64 },
     /// A node gets SIGTERM, then SIGKILL at the earliest moment that is allowed, and is started again.
     Restart { node: usize },
     /// A node gets SIGKILL without a warning and is started again.
@@ -149,10 +154,37 @@
         plan.add_faults(&mut rng);
         plan.server_capacity = rng.random_bool(0.4).then(|| rng.random_range(SMALL_SERVER_CAPACITY));
         plan.add_further_faults(&mut additions_rng);
+        let mut connections_rng =
+            StdRng::seed_from_u64(seed.wrapping_mul(0xa076_1d64_78bd_642f) ^ 0x6c69_6e6b);
+        plan.add_connection_faults(&mut connections_rng);
         plan.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
         plan
     }
 
+    /// Adds servers that take over an address, and times in which clients rest.
+    fn add_connection_faults(&mut self, rng: &mut StdRng) {
+        let latest = self.length_s - QUIET_END_S;
+        for server in 0..self.server_count {
+            let has_fault = self.faults.iter().any(|(_, fault)| match fault {
+                Fault::Server { server: other, .. } | Fault::Replace { server: other, .. } => {
+                    *other == server
+                }
+                _ => false,
+            });
+            if !has_fault && rng.random_bool(0.5) {
+                let (ends_after, told_after) = (rng.random_range(0.3..1.5), rng.random_range(0.3..2.0));
+                let at = rng.random_range(QUIET_START_S..latest);
+                self.faults.push((at, Fault::Succeed { server, ends_after, told_after }));
+            }
+        }
+        for node in 0..self.node_count {
+            if rng.random_bool(0.3) {
+                let seconds = rng.random_range(1.0..3.0);
+                self.faults.push((rng.random_range(QUIET_START_S..latest), Fault::Rest { node, seconds }));
+            }
+        }
+    }
+
     /// Adds zones, tenants, a burst of requests, repeated signals, and the faults that clients cause on their
     /// connections.
     fn add_further_faults(&mut self, rng: &mut StdRng) {
--- a/crates/lemontide-standin/src/soak/report.rs
+++ b/crates/lemontide-standin/src/soak/report.rs
@@ -103,7 +103,7 @@
         writeln!(text, "client: {}", request_line(request))?;
     }
     for attempt in event_log.attempts.iter().filter(|attempt| attempt.id == id) {
-        writeln!(text, "  backend {}", attempt_line(plan, attempt))?;
+        writeln!(text, "  backend {}", attempt_line(plan, event_log, attempt))?;
     }
     Ok(())
 }
@@ -132,11 +132,12 @@
     )
 }
 
-fn attempt_line(plan: &Plan, attempt: &Attempt) -> String {
+fn attempt_line(plan: &Plan, event_log: &EventLog, attempt: &Attempt) -> String {
+    let predecessors = event_log.predecessor_count(attempt.server, attempt.first_byte_at);
     let time = |at: Option<f64>| at.map_or("-".to_owned(), |at| format!("{at:.3}"));
     format!(
         "{} from n{}: bytes {:.3} to {:.3}, taken {}, answered {}, ended {}, released {}: {}",
-        server_name(plan.seed, attempt.server),
+        server_name(plan.seed, attempt.server, predecessors),
         attempt.node,
         attempt.first_byte_at,
         attempt.last_byte_at,
@@ -178,19 +179,27 @@
             ListState::Draining => "draining",
             ListState::Gone => "gone",
         };
+        let listed_with_address = event_log.predecessor_count(change.server, change.at);
+        // A server is told to be gone after its successor has taken the address.
+        let predecessors = match change.state {
+            ListState::Gone => listed_with_address.saturating_sub(1),
+            ListState::Ready | ListState::Draining => listed_with_address,
+        };
         writeln!(
             text,
             "{:.3} v{} {} {state}",
             change.at,
             change.position,
-            server_name(plan.seed, change.server)
+            server_name(plan.seed, change.server, predecessors)
         )?;
     }
     let closes: Vec<String> =
         event_log.client_closes.iter().map(|(at, of)| format!("{} {at:.3}", connection_name(of))).collect();
     writeln!(text, "Connections that clients closed: {}", closes.join(", "))?;
     for (at, server) in &event_log.server_crashes {
-        writeln!(text, "{at:.3} {} died", server_name(plan.seed, *server))?;
+        let predecessors =
+            event_log.successions.iter().filter(|(since, of)| of == server && since < at).count();
+        writeln!(text, "{at:.3} {} died", server_name(plan.seed, *server, predecessors))?;
     }
     Ok(())
 }
--- a/crates/lemontide-standin/src/soak/stub_server.rs
+++ b/crates/lemontide-standin/src/soak/stub_server.rs
@@ -166,18 +166,7 @@
         let now = self.recorder.now();
         let mut state = self.state();
         if mode == Mode::Dead && state.mode != Mode::Dead {
-            let mut event_log = self.recorder.event_log();
-            event_log.server_crashes.push((now, self.index));
-            for session in state.sessions.drain(..) {
-                let end = if session.is_established {
-                    AttemptEnd::SessionEnded
-                } else {
-                    AttemptEnd::ConnectionClosed
-                };
-                event_log.attempts[session.attempt].ended = Some((now, end));
-            }
-            state.node_connections.clear();
-            state.released.clear();
+            self.end_sessions(&mut state, now);
         }
         state.mode = mode;
         drop(state);
@@ -187,6 +176,27 @@
         self.mode.send_replace(mode);
     }
 
+    /// The process ends, and another server is at the address from that moment on.
+    pub fn succeed(&self) {
+        let now = self.recorder.now();
+        self.end_sessions(&mut self.state(), now);
+        self.recorder.event_log().successions.push((now, self.index));
+        self.process_generation.send_modify(|generation| *generation += 1);
+    }
+
+    /// Ends the sessions and connections of the process.
+    fn end_sessions(&self, state: &mut State, now: f64) {
+        let mut event_log = self.recorder.event_log();
+        event_log.server_crashes.push((now, self.index));
+        for session in state.sessions.drain(..) {
+            let end =
+                if session.is_established { AttemptEnd::SessionEnded } else { AttemptEnd::ConnectionClosed };
+            event_log.attempts[session.attempt].ended = Some((now, end));
+        }
+        state.node_connections.clear();
+        state.released.clear();
+    }
+
     /// Waits while traffic is held back.
     async fn wait_while_silent(&self) {
         let mut mode = self.mode.subscribe();
--- a/crates/lemontide-standin/tests/soak_judge.rs
+++ b/crates/lemontide-standin/tests/soak_judge.rs
@@ -191,6 +191,9 @@
         "its client has other connections"
     );
     assert_eq!(violated_after(true, |b| b.requests[0].ended_at = None), [Invariant::ReleasesForwarded]);
+    let released_at = |at| move |b: &mut EventLog| b.requests[0].ended_at = Some(at);
+    assert_eq!(violated_after(true, released_at(13.04)), []);
+    assert_eq!(violated_after(true, released_at(13.06)), [Invariant::ReleasesForwarded], "too late");
     assert_eq!(
         violated_after(true, |b| b.node_events.push((20.0, 0, NodeEvent::Exited { is_expected: false }))),
         [Invariant::NoCrashes]
@@ -285,3 +288,32 @@
     };
     assert_eq!(violated_after(true, never_established), [Invariant::OneAnswerPerRequest]);
 }
+
+/// The process of a server dies, and its list entry goes later: its session is released within 8 s, or 1 s after the
+/// node was informed if that is later.
+#[test]
+fn a_session_that_is_not_released_after_the_end_of_its_process_is_found() {
+    let died = |released_at: f64, gone_at: f64| {
+        move |b: &mut EventLog| {
+            b.attempts[0].release_written = None;
+            b.server_crashes.push((12.0, 0));
+            b.list_changes.push(ListChange {
+                at: gone_at,
+                position: 1,
+                server: 0,
+                state: ListState::Gone,
+                sent_to_node_at: vec![Some(gone_at)],
+            });
+            b.requests[0].ended_at = Some(released_at);
+        }
+    };
+    assert_eq!(violated_after(true, died(20.04, 13.0)), []);
+    assert_eq!(violated_after(true, died(20.06, 13.0)), [Invariant::ReleasesForwarded]);
+    assert_eq!(violated_after(true, died(21.04, 20.0)), [], "only the list tells");
+    assert_eq!(violated_after(true, died(21.06, 20.0)), [Invariant::ReleasesForwarded]);
+    let never = |b: &mut EventLog| {
+        died(20.0, 13.0)(b);
+        b.requests[0].ended_at = None;
+    };
+    assert_eq!(violated_after(true, never), [Invariant::ReleasesForwarded]);
+}
