Platform: messages of streamers get a module of their own, one function a kind of message

connections.rs held when connections are dialled and what their messages mean, the latter in one function of 90 lines. streamer_messages.rs now has it in short ones, with the session that a message is about as a value. No behaviour changes: the platform's tests pass.

--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod ended;
 mod list;
+mod streamer_messages;
 mod unanswered;
 mod viewers;
 
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -1,5 +1,4 @@
-//! The dispatcher's part of connections to streamers: when one is dialled or closed, what is written on it, and what
-//! its messages mean.
+//! The dispatcher's part of connections to streamers: when one is dialled or closed, and what is written on it.
 
 use super::*;
 
@@ -92,16 +91,6 @@
         test
     }
 
-    /// The process at the other end of this connection holds the session.
-    fn confirm_process(&mut self, id: u32, on: Connection) {
-        if !self.is_current(on) {
-            return;
-        }
-        if let Some(tracked) = self.sessions.get_mut(&id) {
-            tracked.heard_on = Some(on);
-        }
-    }
-
     /// Whether this connection is up.
     pub(super) fn is_up(&self, on: Connection) -> bool {
         let link = self.links.get(&on.link).map(|streamer_link| &streamer_link.link);
@@ -258,116 +247,6 @@
         self.write_next_batch(now, on.link);
     }
 
-    /// What a message of a streamer proves about attempts that were given up on its connection.
-    fn evidence_of(message: &Message) -> Option<(Option<u64>, Evidence)> {
-        match message.body {
-            Body::TestResult { .. } => Some((None, Evidence::TestPassed { test: message.session })),
-            Body::Acknowledged => Some((Some(message.session), Evidence::EndAcknowledged)),
-            Body::Release { cause, .. } if cause::ends_set_up(cause) => {
-                Some((Some(message.session), Evidence::SetUpRefused))
-            }
-            Body::Release { .. } => Some((Some(message.session), Evidence::Released)),
-            _ => None,
-        }
-    }
-
-    /// The streamer at the other end of a connection that is up, or whose close is awaited.
-    fn streamer_on(&self, on: Connection) -> Option<Arc<str>> {
-        let current = self.links.get(&on.link).filter(|_| self.is_current(on));
-        current.map(|streamer_link| &streamer_link.streamer).or_else(|| self.closing.get(&on)).cloned()
-    }
-
-    /// Handles a message of a streamer.
-    pub fn on_streamer_message(&mut self, now: Point, on: Connection, message: Message) {
-        let Some(streamer) = self.streamer_on(on) else { return };
-        if let Some((session, evidence)) = Self::evidence_of(&message) {
-            self.apply_evidence(now, on, session, evidence);
-            self.apply_actions(now);
-        }
-        if self.is_current(on) {
-            if let Some(streamer_link) = self.links.get_mut(&on.link) {
-                streamer_link.link.message_received(now);
-                streamer_link.suspect_until = None;
-            }
-        }
-        // A message about a session that is not tracked at this streamer belongs to another controller, or the session
-        // is over.
-        let id = self.id_by_session.get(&message.session).copied();
-        let own = id.and_then(|id| {
-            Some((id, self.sessions.get(&id).filter(|tracked| tracked.streamer == streamer)?))
-        });
-        let Some((id, tracked)) = own else {
-            if let (None, Body::Release { cause, .. }) = (id, &message.body) {
-                self.remember_untracked_end(message.session, UntrackedEnd::ByStreamer(*cause));
-            }
-            return;
-        };
-        let (handle, plays) = (tracked.handle, tracked.playing_since.is_some());
-        let attempt = tracked.attempt.as_ref();
-        let waits = attempt.is_some_and(|attempt| {
-            attempt.on == on && attempt.given_up.is_none() && attempt.permit.has_begun()
-        });
-        let is_first = tracked.is_first_attempt_at(&streamer);
-        if let Body::Release { cause, .. } = &message.body {
-            // `playing_ms` shows how soon the release arrived for a session that its viewer ended at once.
-            let playing_ms = tracked.playing_since.map(|since| ((now - since).seconds() * 1e6).round() / 1e3);
-            tracing::debug!(
-                target: "streamers", session = format!("{:016x}", message.session), streamer = &*streamer, cause, plays, playing_ms
-            );
-        }
-        match message.body {
-            Body::Answer { description, load } if waits => {
-                self.on_attempt_answered(now, id, description, load)
-            }
-            // It may concern an earlier attempt, whose answer was lost: the outcome of this one is still awaited.
-            Body::Release { cause, .. } if waits && !is_first && !cause::ends_set_up(cause) => {}
-            Body::Release { cause, load, .. } if waits => {
-                let ending = match cause {
-                    cause::FULL => AttemptOutcome::Refused,
-                    cause::ERROR => AttemptOutcome::Errored,
-                    cause::NOT_SENT => AttemptOutcome::NotSent,
-                    cause::FAILED => AttemptOutcome::ConnectionLost,
-                    // It may have run, and the process that reports it works: this outcome is no evidence about the
-                    // health of the streamer.
-                    _ => AttemptOutcome::Unknown,
-                };
-                let is_refusal = cause::ends_set_up(cause);
-                let proof = if is_refusal { Proof::SetUpRefused } else { Proof::Released };
-                self.attempt_over(now, id, ending, load, proof);
-            }
-            Body::Release { cause, load, .. } if plays => {
-                let ending = match cause {
-                    cause::NORMAL => AttemptOutcome::Served,
-                    cause::CANCELLED => AttemptOutcome::Cancelled,
-                    _ => AttemptOutcome::ConnectionLost,
-                };
-                if !is_first {
-                    // It may concern what an earlier attempt had set up there, and the session that plays must not
-                    // continue.
-                    self.release_at_streamer(now, &streamer, message.session);
-                }
-                self.end_session(now, id, ending, load);
-            }
-            Body::SessionReport(note) if plays => {
-                self.confirm_process(id, on);
-                match note {
-                    SessionReport::RateShare(share) => {
-                        handle.shortfall_reported(&mut self.controller, now, share.clamp(0.0, 1.0))
-                    }
-                    SessionReport::Rung(rung) => handle.rung_reported(&mut self.controller, now, rung),
-                    SessionReport::LinkUtilization(full) => {
-                        handle.load_reported(&mut self.controller, now, Load::of_link(full))
-                    }
-                    SessionReport::UplinkUtilization(full) => {
-                        handle.load_reported(&mut self.controller, now, Load::of_uplink(full))
-                    }
-                }
-            }
-            _ => {}
-        }
-        self.apply_actions(now);
-    }
-
     /// Checks all links: dials, tests and closes connections as needed. `gap` is the time since the last check.
     pub(super) fn check_links(&mut self, now: Point, gap: Span) {
         // A streamer needs a link if a session plays or an attempt is unanswered there. New attempts and releases dial
