--- a/crates/lemontide-standin/src/soak/invariants.rs
+++ b/crates/lemontide-standin/src/soak/invariants.rs
@@ -250,6 +250,19 @@
     }
 }
 
+/// The attempt that established the session of a request, if its client was served.
+fn served_attempt<'a>(request: &Request, attempts: &[&'a Attempt]) -> Option<&'a Attempt> {
+    matches!(request.answers.first(), Some((_, Answer::Served))).then_some(())?;
+    attempts.iter().rev().find(|attempt| attempt.answered_at.is_some()).copied()
+}
+
+/// Whether the client of a session did not have its release by `due`, though its node ran all the time. A node that
+/// stops loses the releases it has received; the restarted one is sent them again.
+fn is_unreleased(event_log: &EventLog, request: &Request, attempt: &Attempt, due: f64, end: f64) -> bool {
+    let is_released = request.ended_at.is_some_and(|at| at <= due);
+    due < end && !is_released && !event_log.stopped_after(request.node, attempt.first_byte_at)
+}
+
 /// When a server releases an established session, the node must release it towards the client.
 fn missing_release(
     event_log: &EventLog,
@@ -257,21 +270,13 @@
     attempts: &[&Attempt],
     end: f64,
 ) -> Option<Violation> {
-    if !matches!(request.answers.first(), Some((_, Answer::Served))) {
-        return None;
-    }
-    let established_attempt = attempts.iter().rev().find(|attempt| attempt.answered_at.is_some())?;
-    let (written, _) = established_attempt.release_written?;
+    let attempt = served_attempt(request, attempts)?;
+    let (written, _) = attempt.release_written?;
     let due = written + RELEASE_FORWARDED_WITHIN_S + TIMING_SLACK_S;
-    let is_released = request.ended_at.is_some_and(|at| at <= due);
-    // A node that stops loses the releases it has received; the restarted one is sent them again.
-    let node_stopped = event_log.stopped_after(request.node, established_attempt.first_byte_at);
-    (due < end && !is_released && !node_stopped).then(|| {
-        Violation::in_session(
-            Invariant::ReleasesForwarded,
-            request.id,
-            format!("released by its server at {written:.3}, not received by its client by {due:.3}"),
-        )
+    is_unreleased(event_log, request, attempt, due, end).then(|| {
+        let details =
+            format!("released by its server at {written:.3}, not received by its client by {due:.3}");
+        Violation::in_session(Invariant::ReleasesForwarded, request.id, details)
     })
 }
 
@@ -282,26 +287,20 @@
     attempts: &[&Attempt],
     end: f64,
 ) -> Option<Violation> {
-    if !matches!(request.answers.first(), Some((_, Answer::Served))) {
-        return None;
-    }
-    let established_attempt = attempts.iter().rev().find(|attempt| attempt.answered_at.is_some())?;
-    let (ended, _) = established_attempt.ended.filter(|(_, how)| *how == AttemptEnd::SessionEnded)?;
-    if !event_log.server_crashes.contains(&(ended, established_attempt.server)) {
+    let attempt = served_attempt(request, attempts)?;
+    let (ended, _) = attempt.ended.filter(|(_, how)| *how == AttemptEnd::SessionEnded)?;
+    if !event_log.server_crashes.contains(&(ended, attempt.server)) {
         return None;
     }
     let is_removal = |change: &&ListChange| {
-        change.server == established_attempt.server && change.state == ListState::Gone && change.at >= ended
+        change.server == attempt.server && change.state == ListState::Gone && change.at >= ended
     };
-    let removal = event_log.list_changes.iter().find(is_removal);
-    let informed = removal.map(|removal| {
+    let informed = event_log.list_changes.iter().find(is_removal).map(|removal| {
         let written = removal.sent_to_node_at[request.node];
         informed_at(event_log, request.node, removal.at, written) + RELEASE_FORWARDED_WITHIN_S
     });
     let due = (ended + RELEASE_WITHOUT_SERVER_WITHIN_S).max(informed.unwrap_or(ended)) + TIMING_SLACK_S;
-    let is_released = request.ended_at.is_some_and(|at| at <= due);
-    let node_stopped = event_log.stopped_after(request.node, established_attempt.first_byte_at);
-    (due < end && !is_released && !node_stopped).then(|| {
+    is_unreleased(event_log, request, attempt, due, end).then(|| {
         let details = format!(
             "its server's process died at {ended:.3}, no release was received by its client by {due:.3}"
         );
