Releases to clients go to every connection that may be a viewer's until one is certain

Cause: where no certain connection was open, the release was sent on the likeliest alone. That was one of a client that sends refused set-ups again and again, while the viewers rested and had sent only tests. Evidence, log of n0: the streamer's release is read and 0.05 ms later "release" conn=109 evidence=SetUp; 2.34 s later conn=98 evidence=Session.

Change: without a certain connection (its own, or one with a session) it is sent once on each that may be a viewer's, 64 at most, for 8 s. Test: a_release_is_sent_on_every_connection_that_may_be_a_viewers (written for this form; not run without it). The platform's tests and the socket tests of both cases pass.

--- a/crates/lemontide-platform/src/dispatcher/client_releases.rs
+++ b/crates/lemontide-platform/src/dispatcher/client_releases.rs
@@ -1,17 +1,19 @@
 //! The releases that are owed to clients. Each is kept here from the end of its session until a connection has carried
-//! it: this is the one place that knows whether a client still has to be told. A session that plays belongs to no
-//! connection, so any connection from viewers can carry its release.
+//! it to the client: this is the one place that knows whether a client still has to be told. A session that plays
+//! belongs to no connection, so any connection from viewers can carry its release.
 //!
-//! Not every connection belongs to a viewer that can use it. The connection of the session itself does, and so does one
-//! on which a session was set up. If there is none, the release is sent on the best other one, and once more when a
-//! better one appears.
+//! A connection is certain to be a viewer's if it is that of the session itself, or if a session was set up on it. As
+//! long as no certain one is open, a release is sent on every connection that may be a viewer's, once on each: clients
+//! that are no viewers send tests and usable set-ups, too.
 
 use super::*;
 
 /// Maximum number of releases that are kept; the oldest is dropped beyond it.
 const MAX_RELEASES: usize = 4096;
-/// How long a release is kept after it was sent: until then its connection can report that it was not read, and a
-/// better one can appear.
+/// Maximum number of connections that may be a viewer's on which one release is sent.
+const MAX_POSSIBLE_CONNECTIONS: usize = 64;
+/// How long a release is kept after it was sent first: until then its connection can report that it was not read, and
+/// a connection that is certain to be a viewer's can appear.
 const SENT_RELEASE_RETENTION: Span = Span::of_millis(8000);
 
 /// What shows that a connection belongs to a viewer, the weakest first.
@@ -27,29 +29,44 @@
     Session,
 }
 
-/// The connection that a release was sent on.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct SentOn {
-    connection_id: u64,
-    evidence: ViewerEvidence,
-    at: Point,
-}
-
 /// The release of one session.
 struct ClientRelease {
     message: Message,
     /// The connection of the session.
     own_connection_id: u64,
-    sent: Option<SentOn>,
+    /// When it was sent first. Nothing if it was not sent, or came back from every connection.
+    sent_at: Option<Point>,
+    /// The connections that carry it, in order.
+    sent_on: Vec<u64>,
+    /// The one of them that is certain to be a viewer's.
+    certain: Option<u64>,
 }
 
 impl ClientRelease {
-    fn evidence(&self) -> ViewerEvidence {
-        self.sent.map_or(ViewerEvidence::None, |sent| sent.evidence)
+    fn is_expired(&self, now: Point) -> bool {
+        self.sent_at.is_some_and(|sent_at| now - sent_at > SENT_RELEASE_RETENTION)
     }
 
-    fn is_expired(&self, now: Point) -> bool {
-        self.sent.is_some_and(|sent| now - sent.at > SENT_RELEASE_RETENTION)
+    /// It is to be sent on this connection. Returns the effect, unless the connection carries it already.
+    fn send_on(&mut self, now: Point, connection_id: u64, is_certain: bool) -> Option<Effect> {
+        if is_certain {
+            self.certain = Some(connection_id);
+        }
+        if self.sent_on.contains(&connection_id) {
+            return None;
+        }
+        self.sent_at.get_or_insert(now);
+        self.sent_on.push(connection_id);
+        let message = self.message.clone();
+        let session = format!("{:016x}", message.session);
+        tracing::debug!(target: "viewers", session, conn = connection_id, is_certain, "release");
+        Some(Effect::SendToViewer {
+            conn: connection_id,
+            message,
+            ends_session: true,
+            reply: None,
+            steps: None,
+        })
     }
 }
 
@@ -64,12 +81,18 @@
         self.remove(message.session);
         if self.releases.len() >= MAX_RELEASES {
             let dropped = self.releases.pop_front();
-            if let Some(unsent) = dropped.filter(|dropped| dropped.sent.is_none()) {
+            if let Some(unsent) = dropped.filter(|dropped| dropped.sent_on.is_empty()) {
                 let session = format!("{:016x}", unsent.message.session);
                 tracing::warn!(target: "viewers", session, "release dropped: too many wait");
             }
         }
-        self.releases.push_back(ClientRelease { message, own_connection_id, sent: None });
+        self.releases.push_back(ClientRelease {
+            message,
+            own_connection_id,
+            sent_at: None,
+            sent_on: Vec::new(),
+            certain: None,
+        });
     }
 
     /// The client of a session has no need to be told of its end any more.
@@ -77,19 +100,21 @@
         self.releases.retain(|release| release.message.session != session);
     }
 
-    /// Whether a release was sent on no connection yet, or came back from its connection.
+    /// Whether a release was sent on no connection yet, or came back from its connections.
     fn has_unsent(&self) -> bool {
-        self.releases.iter().any(|release| release.sent.is_none())
+        self.releases.iter().any(|release| release.sent_on.is_empty())
     }
 
-    /// The release of a session came back from a connection. Nothing changes if it was sent on another one since.
+    /// The release of a session came back from a connection. What other connections carry stays with them.
     fn take_back(&mut self, session: u64, connection_id: u64) {
-        let sent_there = |release: &&mut ClientRelease| {
-            release.message.session == session
-                && release.sent.is_some_and(|sent| sent.connection_id == connection_id)
+        let Some(release) = self.releases.iter_mut().find(|release| release.message.session == session)
+        else {
+            return;
         };
-        if let Some(release) = self.releases.iter_mut().find(sent_there) {
-            release.sent = None;
+        release.sent_on.retain(|sent_on| *sent_on != connection_id);
+        release.certain = release.certain.filter(|certain| *certain != connection_id);
+        if release.sent_on.is_empty() {
+            release.sent_at = None;
         }
     }
 }
@@ -99,7 +124,7 @@
     pub(super) fn owe_release(&mut self, now: Point, own_connection_id: u64, session: u64, body: Body) {
         self.client_releases.add(Message { session, body }, own_connection_id);
         self.send_client_releases(now);
-        if self.client_releases.releases.back().is_some_and(|release| release.sent.is_none()) {
+        if self.client_releases.releases.back().is_some_and(|release| release.sent_on.is_empty()) {
             let open = self.viewer_connections.len();
             let session = format!("{session:016x}");
             tracing::info!(target: "viewers", session, open, "release waits for a connection");
@@ -111,48 +136,50 @@
         self.client_releases.has_unsent()
     }
 
-    /// Sends each release on the best connection for it, unless it was sent on one as good.
-    pub(super) fn send_client_releases(&mut self, now: Point) {
-        let Some(best) = self.best_viewer_connection() else { return };
-        for release in &mut self.client_releases.releases {
-            if release.evidence() == ViewerEvidence::Session {
-                continue;
-            }
+    /// Sends each release that no certain connection carries on its own connection or another certain one, or
+    /// otherwise on all that may be a viewer's.
+    fn send_client_releases(&mut self, now: Point) {
+        let waits = |release: &ClientRelease| release.certain.is_none();
+        if !self.client_releases.releases.iter().any(waits) {
+            return;
+        }
+        let certain = self.certain_viewer_connection();
+        let possible = if certain.is_none() { self.possible_viewer_connections() } else { Vec::new() };
+        for release in self.client_releases.releases.iter_mut().filter(|release| waits(release)) {
             let own = self.viewer_connections.get(&release.own_connection_id);
-            let has_own = own.is_some_and(|connection| !connection.is_draining);
-            let (connection_id, evidence) =
-                if has_own { (release.own_connection_id, ViewerEvidence::Session) } else { best };
-            if evidence <= release.evidence() {
+            let own = own.filter(|own| !own.is_draining).map(|_| release.own_connection_id);
+            if let Some(connection_id) = own.or(certain) {
+                self.effects.extend(release.send_on(now, connection_id, true));
                 continue;
             }
-            let is_on_it = release.sent.is_some_and(|sent| sent.connection_id == connection_id);
-            release.sent = Some(SentOn { connection_id, evidence, at: now });
-            if is_on_it {
-                continue;
+            for connection_id in &possible {
+                if release.sent_on.len() < MAX_POSSIBLE_CONNECTIONS {
+                    self.effects.extend(release.send_on(now, *connection_id, false));
+                }
             }
-            let message = release.message.clone();
-            let session = format!("{:016x}", message.session);
-            tracing::debug!(target: "viewers", session, conn = connection_id, ?evidence, "release");
-            self.effects.push(Effect::SendToViewer {
-                conn: connection_id,
-                message,
-                ends_session: true,
-                reply: None,
-                steps: None,
-            });
         }
     }
 
-    /// The connection that most likely belongs to a viewer, and what shows it. One that takes no more input is used
-    /// only if there is no other: its client may have closed it.
-    fn best_viewer_connection(&self) -> Option<(u64, ViewerEvidence)> {
-        let is_known = |connection: &ViewerConnection| connection.evidence > ViewerEvidence::None;
-        let known = self.viewer_connections.iter().filter(|(_, connection)| is_known(connection));
-        let (connection_id, connection) = known.max_by_key(|(_, connection)| {
-            (!connection.is_draining, connection.evidence, connection.last_message_at)
-        })?;
-        let evidence = if connection.is_draining { ViewerEvidence::Message } else { connection.evidence };
-        Some((*connection_id, evidence))
+    /// The connection on which a session was set up and that was used last.
+    fn certain_viewer_connection(&self) -> Option<u64> {
+        let is_certain = |connection: &ViewerConnection| {
+            connection.evidence == ViewerEvidence::Session && !connection.is_draining
+        };
+        let certain = self.viewer_connections.iter().filter(|(_, connection)| is_certain(connection));
+        let latest = certain.max_by_key(|(_, connection)| connection.last_message_at);
+        latest.map(|(connection_id, _)| *connection_id)
+    }
+
+    /// The connections that may be a viewer's, the likeliest first. Those that take no more input are used only if there
+    /// are no others: their clients may have closed them.
+    fn possible_viewer_connections(&self) -> Vec<u64> {
+        let is_possible = |connection: &ViewerConnection| connection.evidence > ViewerEvidence::None;
+        let possible = self.viewer_connections.iter().filter(|(_, connection)| is_possible(connection));
+        let (mut draining, mut open): (Vec<_>, Vec<_>) =
+            possible.partition(|(_, connection)| connection.is_draining);
+        let chosen = if open.is_empty() { &mut draining } else { &mut open };
+        chosen.sort_by_key(|(_, connection)| Reverse((connection.evidence, connection.last_message_at)));
+        chosen.iter().map(|(connection_id, _)| **connection_id).collect()
     }
 
     /// A connection has shown that it belongs to a viewer: releases that wait for one like it are sent on it.
--- a/crates/lemontide-platform/tests/client_releases.rs
+++ b/crates/lemontide-platform/tests/client_releases.rs
@@ -71,7 +71,7 @@
 
 /// Guards against a release that only a client that is no viewer has got.
 #[test]
-fn a_release_is_sent_again_on_a_connection_that_is_more_certainly_a_viewers() {
+fn a_release_is_sent_again_on_other_connections_until_one_is_certain_to_be_a_viewers() {
     let (mut harness, session) = ended_session();
     connect_and_test(&mut harness, FIRST);
     connect(&mut harness, SECOND);
@@ -80,6 +80,27 @@
     harness.streamer_answers(request);
     harness.advance(1.0);
     assert_eq!(released_on(&harness, session), [FIRST, SECOND], "once on each connection");
+    connect_and_test(&mut harness, 4);
+    assert_eq!(released_on(&harness, session), [FIRST, SECOND], "the second is certain now");
+}
+
+/// Guards against a release that goes to a client whose set-ups are refused over and over, while a viewer that sent
+/// only a test gets none (soak seeds 51022 and 51044).
+#[test]
+fn a_release_is_sent_on_every_connection_that_may_be_a_viewers() {
+    let (mut harness, session) = ended_session();
+    harness.dispatcher.on_viewer_connected(harness.now, VIEWERS);
+    let (other_session, _) = harness.start_session("free");
+    connect(&mut harness, FIRST);
+    harness.request_on(FIRST, set_up_of("free"));
+    connect_and_test(&mut harness, SECOND);
+    assert_eq!(released_on(&harness, session), [VIEWERS], "one is certain");
+    harness.dispatcher.on_viewer_gone(harness.now, VIEWERS, Departure::Closed);
+    harness.streamer_releases(other_session, cause::NORMAL);
+    assert_eq!(released_on(&harness, other_session), [FIRST, SECOND]);
+    const THIRD: u64 = 4;
+    connect_and_test(&mut harness, THIRD);
+    assert_eq!(released_on(&harness, other_session), [FIRST, SECOND, THIRD]);
 }
 
 #[test]
