List updates check the changed streamers and those that are not ready, not all

A change of the list went over every streamer to withdraw what waits and to remove what is gone. For one that is ready and not in the change both do nothing. With 3,200 streamers the search for owners of addresses is new work on each change; this takes away more map lookups than that adds, by reading, not measured. The platform's tests pass.

--- a/crates/lemontide-platform/src/dispatcher/list.rs
+++ b/crates/lemontide-platform/src/dispatcher/list.rs
@@ -31,8 +31,7 @@
             .collect();
         self.controller.update_list(now, &entries, hosts.full);
         self.apply_actions(now);
-        let names: Vec<Arc<str>> = self.streamers.keys().cloned().collect();
-        for streamer in names {
+        for streamer in self.streamers_to_check(&entries) {
             self.withdraw_waiting_at(now, &streamer);
             self.remove_if_gone(now, &streamer);
         }
@@ -40,6 +39,16 @@
         self.apply_actions(now);
     }
 
+    /// The streamers of these entries, and those that are not ready: what waits there or is left there may end by now.
+    fn streamers_to_check(&self, changed: &[StreamerEntry]) -> Vec<Arc<str>> {
+        let changed: BTreeSet<&str> = changed.iter().map(|entry| &*entry.streamer).collect();
+        let is_checked = |streamer: &str, known: &KnownStreamer| {
+            known.state() != StreamerState::Ready || changed.contains(streamer)
+        };
+        let checked = self.streamers.iter().filter(|(streamer, known)| is_checked(streamer, known));
+        checked.map(|(streamer, _)| streamer.clone()).collect()
+    }
+
     /// Applies the new entry of one streamer.
     pub(super) fn update_entry(&mut self, now: Point, entry: &ListEntry) {
         let is_ready = entry.streamer_state() == StreamerState::Ready;
