known-red: a release that comes back over 8 s after it was first sent is lost

What callers see: a release got a possible viewers' connection at 0 s and a certain one at 7.5 s; that one returns it unread at 8.5 s, and the client is never told. Cause: ClientRelease::is_expired counts from the first sending.

--- a/crates/lemontide-platform/tests/client_releases.rs
+++ b/crates/lemontide-platform/tests/client_releases.rs
@@ -176,3 +176,20 @@
     assert_eq!(released_on(&harness, session), [FIRST]);
     assert!(harness.final_answer(open).is_some());
 }
+
+/// Guards against a release that is forgotten 8 s after it was first sent, though the connection that is certain to be
+/// a viewer's got it just before and then returns it.
+#[test]
+fn a_release_that_comes_back_long_after_it_was_first_sent_is_sent_again() {
+    const THIRD: u64 = 4;
+    let (mut harness, session) = ended_session();
+    connect_and_test(&mut harness, FIRST);
+    harness.advance(7.5);
+    connect(&mut harness, SECOND);
+    let request = harness.request_on(SECOND, set_up_of("free"));
+    harness.streamer_answers(request);
+    harness.advance(1.0);
+    return_release(&mut harness, SECOND, session);
+    connect_and_test(&mut harness, THIRD);
+    assert_eq!(released_on(&harness, session), [FIRST, SECOND, THIRD]);
+}
