--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -7,35 +7,59 @@
 use common::*;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-const STREAMERS: usize = 12;
+const STREAMERS: usize = 18;
 const CELLS: usize = 2;
-const TITLES: u64 = 60;
+const TITLES: u64 = 90;
 /// One of so many set-ups meets a full streamer, as other controllers send to it, too.
-const FULL_ONE_IN: u64 = 4;
+const FULL_ONE_IN: u64 = 3;
 /// How long a streamer works on a set-up, and how long a session plays.
-const WORK_S: f64 = 0.2;
+const WORK_S: f64 = 0.3;
 const LIFE_S: f64 = 6.0;
 const REQUESTS_PER_S: f64 = 20.0;
 const WAIT_MS: u64 = 5000;
 /// A request must have its answer this long after its time is up.
 const SLACK_S: f64 = 0.55;
-const END_S: f64 = 95.0;
+/// Half of the streamers drain, one after the other, and are gone so long after that.
+const FIRST_DRAINS_S: f64 = 8.0;
+const STEP_S: f64 = 1.0;
+const DRAINS_FOR_S: f64 = 7.0;
+const END_S: f64 = 100.0;
 
-/// A streamer that works on each set-up, refuses one in some as full, and ends sessions after a while.
-fn start_streamer(record: &Record, id: String, listener: TcpListener) {
-    let record = record.clone();
+/// A streamer that works on each set-up, refuses one in some as full, and ends sessions after a while. Returns what ends
+/// its process: its connections close, and it takes no new one.
+fn start_streamer(record: &Record, id: String, listener: TcpListener) -> Arc<Ending> {
+    let ending = Arc::new(Ending::default());
+    let (own, record) = (ending.clone(), record.clone());
     thread::spawn(move || {
         for socket in listener.incoming().flatten() {
+            let connection = Connection::new(socket);
+            if own.has_ended.load(Ordering::SeqCst) {
+                reset(&connection.socket);
+                continue;
+            }
+            lock(&own.connections).push(connection.clone());
             let (record, id) = (record.clone(), id.clone());
-            thread::spawn(move || {
-                let connection = Connection::new(socket);
-                let _ = serve(&record, &id, &connection);
-            });
+            thread::spawn(move || drop(serve(&record, &id, &connection)));
         }
     });
+    ending
+}
+
+#[derive(Default)]
+struct Ending {
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<Connection>>,
+}
+
+impl Ending {
+    fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+        lock(&self.connections).iter().for_each(Connection::close);
+    }
 }
 
 fn serve(record: &Record, id: &str, connection: &Connection) -> io::Result<()> {
@@ -50,7 +74,8 @@
                 thread::spawn(move || {
                     sleep(WORK_S);
                     let session = message.session;
-                    let mut chance = Chance(session | 1);
+                    let own: u64 = id.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte));
+                    let mut chance = Chance(session.wrapping_mul(own | 1) | 1);
                     for _ in 0..4 {
                         chance.next();
                     }
@@ -77,11 +102,11 @@
 
 fn main() {
     let record = Record::create();
-    let mut addresses: Vec<SocketAddr> = Vec::new();
+    let (mut addresses, mut endings): (Vec<SocketAddr>, Vec<Arc<Ending>>) = (Vec::new(), Vec::new());
     for number in 0..STREAMERS {
         let listener = listen();
         addresses.push(address_of(&listener));
-        start_streamer(&record, format!("s-{number}"), listener);
+        endings.push(start_streamer(&record, format!("s-{number}"), listener));
     }
     let first: Vec<String> = addresses
         .iter()
@@ -93,27 +118,27 @@
     let mut controller = Controller::start(&record, "n1", &settings, journal.address, &journal.known());
 
     let open: Arc<Mutex<Map<u64, Open>>> = Arc::default();
-    // Half of the streamers are replaced in steps: each drains, is gone half a second later, and another takes its place.
-    let replacing = record.clone();
-    thread::spawn(move || {
-        if !with_trouble() {
-            return;
-        }
-        for step in 0..STREAMERS / 2 {
-            let number = step * 2 + (step % 2);
-            replacing.wait_until(8.0 + step as f64 * 0.7);
+    // Half of the streamers are replaced in steps: each drains while another takes its place, ends its sessions, and is gone.
+    let journal = Arc::new(journal);
+    for step in 0..if with_trouble() { STREAMERS / 2 } else { 0 } {
+        let (replacing, journal) = (record.clone(), journal.clone());
+        let number = step * 2 + (step % 2);
+        let (address, ending) = (addresses[number], endings[number].clone());
+        thread::spawn(move || {
+            replacing.wait_until(FIRST_DRAINS_S + step as f64 * STEP_S);
             let (id, cell) = (format!("s-{number}"), number % CELLS);
             let listener = listen();
-            let new = (format!("new-{step}"), address_of(&listener));
-            start_streamer(&replacing, new.0.clone(), listener);
+            let (new, new_address) = (format!("new-{step}"), address_of(&listener));
+            start_streamer(&replacing, new.clone(), listener);
             journal.tell(&[
-                entry(&id, addresses[number], cell, "terminating", 0.0),
-                entry(&new.0, new.1, cell, "in_service", unix_ms()),
+                entry(&id, address, cell, "terminating", 0.0),
+                entry(&new, new_address, cell, "in_service", unix_ms()),
             ]);
-            sleep(0.5);
-            journal.tell(&[entry(&id, addresses[number], cell, "terminated", 0.0)]);
-        }
-    });
+            sleep(DRAINS_FOR_S);
+            ending.end();
+            journal.tell(&[entry(&id, address, cell, "terminated", 0.0)]);
+        });
+    }
     record.wait_until(4.0);
     let client = Client::connect(&record, controller.address).unwrap_or_else(|e| cannot_run(&e.to_string()));
     let Client { connection, heard } = client;
