--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -58,7 +58,7 @@
 impl Ending {
     fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
-        lock(&self.connections).iter().for_each(Connection::close);
+        lock(&self.connections).iter().for_each(|connection| reset(&connection.socket));
     }
 }
 
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -11,6 +11,8 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+/// The streamers that hold the title that all viewers ask for.
+const STREAMERS: usize = 3;
 const VIEWERS: u64 = 4;
 const WORK_S: f64 = 0.1;
 /// How long each session plays: the first ends by itself while the others go on.
@@ -100,10 +102,10 @@
 }
 
 /// Passes on what crosses a connection. The one that carries the first release is reset under it, once.
-fn start_proxy(record: &Record, to: SocketAddr) -> SocketAddr {
+fn start_proxy(record: &Record, to: SocketAddr, armed: &Arc<AtomicBool>) -> SocketAddr {
     let listener = listen();
     let address = address_of(&listener);
-    let (record, armed) = (record.clone(), Arc::new(AtomicBool::new(with_trouble())));
+    let (record, armed) = (record.clone(), armed.clone());
     let opened = Arc::new(AtomicUsize::new(0));
     thread::spawn(move || {
         for near in listener.incoming().flatten() {
@@ -138,10 +140,15 @@
 
 fn main() {
     let record = Record::create();
-    let listener = listen();
-    let address = start_proxy(&record, address_of(&listener));
-    let streamer = start_streamer(&record, listener);
-    let journal = Journal::start(&record, &[entry("s-1", address, 0, "in_service", 0.0)]);
+    let armed = Arc::new(AtomicBool::new(with_trouble()));
+    let (mut streamers, mut entries) = (Vec::new(), Vec::new());
+    for number in 0..STREAMERS {
+        let listener = listen();
+        let address = start_proxy(&record, address_of(&listener), &armed);
+        entries.push(entry(&format!("s-{number}"), address, 0, "in_service", 0.0));
+        streamers.push(start_streamer(&record, listener));
+    }
+    let journal = Journal::start(&record, &entries);
     let settings = Settings { cells: 1, ..Settings::default() }.json();
     let mut controller = Controller::start(&record, "n1", &settings, journal.address, &journal.known());
     record.wait_until(FIRST_S);
@@ -152,7 +159,7 @@
     for _ in 0..VIEWERS {
         let session = chance.next();
         waiting.push(session);
-        let _ = client.send(&record, &set_up(session, "genafspil", &format!("t{session:015x}"), 5000, 0, 1));
+        let _ = client.send(&record, &set_up(session, "genafspil", "t7f3a9c21e0b4d65", 5000, 0, 1));
     }
     let end = FIRST_S + WORK_S + LIVES_S[0] + LIMIT_S + 2.0;
     while record.now() < end {
@@ -173,7 +180,7 @@
     if let Some(how) = controller.ended() {
         cannot_run(&format!("the controller has ended: {how}: {}", controller.log()));
     }
-    let ended = lock(&streamer.ended).clone();
+    let ended: Map<u64, f64> = streamers.iter().flat_map(|streamer| lock(&streamer.ended).clone()).collect();
     if ended.is_empty() {
         cannot_run(&format!("no session has stood: {}", controller.log()));
     }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -11,7 +11,7 @@
 use std::thread;
 
 const STREAMERS: usize = 120;
-const CELLS: usize = 60;
+const CELLS: usize = 40;
 const REQUESTS_PER_S: f64 = 50.0;
 const WORK_S: f64 = 0.05;
 const LIFE_S: f64 = 15.0;
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,8 +7,12 @@
 export ROOT=$root RECORD=$PWD/record.txt TROUBLE=${TROUBLE:-1}
 TMPDIR=$(mktemp -d) || exit 2
 export TMPDIR
-trap 'rm -rf "$TMPDIR"' EXIT
-"$root/target/review-2/$case"
+"$root/target/review-2/$case" &
+running=$!
+# The controllers end with the program, however it ends; it ends itself after 117 s at the latest.
+trap 'kill "$running" 2> /dev/null; wait "$running"; rm -rf "$TMPDIR"; exit 2' HUP INT TERM
+wait "$running"
 code=$?
+rm -rf "$TMPDIR"
 [ "$code" -le 2 ] || code=2
 exit "$code"
