Releases are kept until 8 s after a connection that is certain to be a viewer's got them

Cause: is_expired in client_releases.rs counted the 8 s from the first sending, on whatever connection.

Change: they run from when a connection that is certain to be a viewer's got it; until then the release is kept, within the bound of 4,096.

--- a/crates/lemontide-platform/src/dispatcher/client_releases.rs
+++ b/crates/lemontide-platform/src/dispatcher/client_releases.rs
@@ -12,8 +12,8 @@
 const MAX_RELEASES: usize = 4096;
 /// Maximum number of connections that may be a viewer's on which one release is sent.
 const MAX_POSSIBLE_CONNECTIONS: usize = 64;
-/// How long a release is kept after it was sent first: until then its connection can report that it was not read, and
-/// a connection that is certain to be a viewer's can appear.
+/// How long a release is kept after a connection that is certain to be a viewer's got it: until then that connection
+/// can report that it was not read.
 const SENT_RELEASE_RETENTION: Span = Span::of_millis(8000);
 
 /// What shows that a connection belongs to a viewer, the weakest first.
@@ -34,8 +34,8 @@
     message: Message,
     /// The connection of the session.
     own_connection_id: u64,
-    /// When it was sent first. Nothing if it was not sent, or came back from every connection.
-    sent_at: Option<Point>,
+    /// When a connection that is certain to be a viewer's got it.
+    certain_since: Option<Point>,
     /// The connections that carry it, in order.
     sent_on: Vec<u64>,
     /// The one of them that is certain to be a viewer's.
@@ -44,18 +44,17 @@
 
 impl ClientRelease {
     fn is_expired(&self, now: Point) -> bool {
-        self.sent_at.is_some_and(|sent_at| now - sent_at > SENT_RELEASE_RETENTION)
+        self.certain_since.is_some_and(|since| now - since > SENT_RELEASE_RETENTION)
     }
 
     /// It is to be sent on this connection. Returns the effect, unless the connection carries it already.
     fn send_on(&mut self, now: Point, connection_id: u64, is_certain: bool) -> Option<Effect> {
         if is_certain {
-            self.certain = Some(connection_id);
+            (self.certain, self.certain_since) = (Some(connection_id), Some(now));
         }
         if self.sent_on.contains(&connection_id) {
             return None;
         }
-        self.sent_at.get_or_insert(now);
         self.sent_on.push(connection_id);
         let message = self.message.clone();
         let session = format!("{:016x}", message.session);
@@ -89,7 +88,7 @@
         self.releases.push_back(ClientRelease {
             message,
             own_connection_id,
-            sent_at: None,
+            certain_since: None,
             sent_on: Vec::new(),
             certain: None,
         });
@@ -112,9 +111,8 @@
             return;
         };
         release.sent_on.retain(|sent_on| *sent_on != connection_id);
-        release.certain = release.certain.filter(|certain| *certain != connection_id);
-        if release.sent_on.is_empty() {
-            release.sent_at = None;
+        if release.certain == Some(connection_id) {
+            (release.certain, release.certain_since) = (None, None);
         }
     }
 }
