--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -151,9 +151,14 @@
         }
     }
 
+    /// Whether another message can be queued.
+    pub fn has_room(&self) -> bool {
+        self.queue.len() < MAX_QUEUED_MESSAGES
+    }
+
     /// Queues a message; returns false if the queue is full.
     pub fn push(&mut self, queued: QueuedMessage<M>) -> bool {
-        let has_room = self.queue.len() < MAX_QUEUED_MESSAGES;
+        let has_room = self.has_room();
         if has_room {
             self.queue.push_back(queued);
         }
--- a/crates/lemontide-platform/src/codec.rs
+++ b/crates/lemontide-platform/src/codec.rs
@@ -109,6 +109,12 @@
     pub fn plays_at(&self) -> Option<&String> {
         self.details.as_ref()?.playing_at.as_ref()
     }
+
+    /// Drops what no further attempt needs: the description and the name of the title, whose lengths its client chose.
+    pub fn drop_payload(&mut self) {
+        self.description = Bytes::new();
+        self.title = String::new();
+    }
 }
 
 /// A streamer's report on a session that plays.
--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -8,9 +8,11 @@
 mod client_releases;
 mod connections;
 mod ended;
+mod hand_overs;
 mod list;
 mod streamer_messages;
 mod unanswered;
+mod untracked_ends;
 mod viewers;
 
 pub use unanswered::InputEnd;
@@ -24,6 +26,7 @@
 use bytes::Bytes;
 use client_releases::{ClientReleases, ViewerEvidence};
 use ended::EndedSessions;
+use hand_overs::UnconfirmedHandOvers;
 use lemontide::clock::{Point, Span};
 use lemontide::control::{Controller, SessionHandle};
 use lemontide::interface::{
@@ -37,6 +40,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
+use untracked_ends::{UntrackedEnd, UntrackedEnds};
 
 /// Subtracted from the time that a viewer waits, so that the final answer arrives before the viewer gives up.
 const ANSWER_MARGIN: Span = Span::of_millis(40);
@@ -46,8 +50,8 @@
 const RELEASE_RETENTION: Span = Span::of_millis(8000);
 /// How long an attempt that was not proven over is remembered after its request ended.
 const UNPROVEN_RETENTION: Span = Span::of_millis(8000);
-/// Maximum number of entries of each of these: ends of sessions that were not handed over yet, releases that a streamer
-/// is not known to have read, and attempts that are not proven over.
+/// Maximum number of entries of each of these: releases that a streamer is not known to have read, those of them that
+/// only a client's claim calls for, and attempts that are not proven over.
 const MAX_REMEMBERED: usize = 1024;
 
 /// The settings that the dispatcher itself needs. The module has its own, in `ControllerSettings`.
@@ -293,15 +297,6 @@
     suspect_until: Option<Point>,
 }
 
-/// How a session ended that this controller did not track.
-#[derive(Clone, Copy)]
-enum UntrackedEnd {
-    /// Its streamer released it, with this cause.
-    ByStreamer(u8),
-    /// Its viewer ended it.
-    ByViewer,
-}
-
 /// A release that a streamer has to read.
 struct PendingRelease {
     streamer: Arc<str>,
@@ -310,6 +305,8 @@
     sent: Option<SentRelease>,
     /// Whether a connection is dialled for it if none is up, as the session is known to be established.
     dials_if_needed: bool,
+    /// Only a client has said that the streamer has the session.
+    is_claimed: bool,
 }
 
 /// The last sending of a release to a streamer.
@@ -386,7 +383,8 @@
     /// Set-ups that were read and are not decided, in order.
     undecided: VecDeque<UndecidedSetUp>,
     /// Ends of sessions that arrived before their hand-over.
-    untracked_ends: VecDeque<(u64, UntrackedEnd)>,
+    untracked_ends: UntrackedEnds,
+    unconfirmed_hand_overs: UnconfirmedHandOvers,
     /// Releases that their streamer is not known to have read.
     pending_releases: VecDeque<PendingRelease>,
     unproven: VecDeque<UnprovenAttempt>,
@@ -433,7 +431,8 @@
             stopping_since: None,
             read_delay: Span::ZERO,
             undecided: VecDeque::new(),
-            untracked_ends: VecDeque::new(),
+            untracked_ends: UntrackedEnds::default(),
+            unconfirmed_hand_overs: UnconfirmedHandOvers::default(),
             pending_releases: VecDeque::new(),
             unproven: VecDeque::new(),
             ended: EndedSessions::default(),
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -88,6 +88,7 @@
     pub(super) fn remove(&mut self, now: Point, id: u32) -> Option<TrackedSession> {
         let tracked = self.sessions.remove(&id)?;
         self.id_by_session.remove(&tracked.session);
+        self.unconfirmed_hand_overs.remove(id);
         if tracked.has_begun() {
             self.ended.insert(now, tracked.session);
         }
@@ -112,7 +113,7 @@
             }
         }
         tracked.playing_since = Some(now);
-        tracked.set_up.description = Bytes::new();
+        tracked.set_up.drop_payload();
         let (handle, connection_id, session, reply) =
             (tracked.handle, tracked.connection_id, tracked.session, tracked.reply.take());
         tracing::debug!(target: "decision", session = format!("{session:016x}"), streamer = &*tracked.streamer, answered = true);
@@ -336,6 +337,7 @@
     /// A playing session is over: its end is reported to the module, and to its viewer if that is owed a release.
     pub(super) fn end_session(&mut self, now: Point, id: u32, ending: AttemptOutcome, load: Load) {
         self.report_ended(now, id, ending, load);
+        let is_claimed = self.unconfirmed_hand_overs.contains(id);
         let Some(tracked) = self.remove(now, id) else { return };
         let why = match ending {
             AttemptOutcome::Served => cause::NORMAL,
@@ -343,7 +345,11 @@
             AttemptOutcome::Cancelled => return,
             _ => cause::FAILED,
         };
-        self.owe_release(now, tracked.connection_id, tracked.session, Body::release(why));
+        if is_claimed {
+            self.owe_claim_release(now, tracked.connection_id, tracked.session, Body::release(why));
+        } else {
+            self.owe_release(now, tracked.connection_id, tracked.session, Body::release(why));
+        }
     }
 
     /// Reports to the module how an attempt or a playing session ended.
--- a/crates/lemontide-platform/src/dispatcher/client_releases.rs
+++ b/crates/lemontide-platform/src/dispatcher/client_releases.rs
@@ -8,8 +8,10 @@
 
 use super::*;
 
-/// Maximum number of releases that are kept; the oldest is dropped beyond it.
+/// Maximum number of releases of sessions that are kept; the oldest is dropped beyond it.
 const MAX_RELEASES: usize = 4096;
+/// The same for sessions that only a client has named, so that these displace no others.
+const MAX_CLAIM_RELEASES: usize = 1024;
 /// Maximum number of connections that may be a viewer's on which one release is sent.
 const MAX_POSSIBLE_CONNECTIONS: usize = 64;
 /// How long a release is kept after a connection that is certain to be a viewer's got it: until then that connection
@@ -34,6 +36,8 @@
     message: Message,
     /// The connection of the session.
     own_connection_id: u64,
+    /// Only a client has named the session: it was handed over and not kept.
+    is_claimed: bool,
     /// When a connection that is certain to be a viewer's got it.
     certain_since: Option<Point>,
     /// The connections that carry it, in order.
@@ -76,10 +80,13 @@
 }
 
 impl ClientReleases {
-    fn add(&mut self, message: Message, own_connection_id: u64) {
+    fn add(&mut self, message: Message, own_connection_id: u64, is_claimed: bool) {
         self.remove(message.session);
-        if self.releases.len() >= MAX_RELEASES {
-            let dropped = self.releases.pop_front();
+        let limit = if is_claimed { MAX_CLAIM_RELEASES } else { MAX_RELEASES };
+        let is_same_kind = |other: &ClientRelease| other.is_claimed == is_claimed;
+        if self.releases.iter().filter(|other| is_same_kind(other)).count() >= limit {
+            let oldest = self.releases.iter().position(is_same_kind);
+            let dropped = oldest.and_then(|oldest| self.releases.remove(oldest));
             if let Some(unsent) = dropped.filter(|dropped| dropped.sent_on.is_empty()) {
                 let session = format!("{:016x}", unsent.message.session);
                 tracing::warn!(target: "viewers", session, "release dropped: too many wait");
@@ -88,6 +95,7 @@
         self.releases.push_back(ClientRelease {
             message,
             own_connection_id,
+            is_claimed,
             certain_since: None,
             sent_on: Vec::new(),
             certain: None,
@@ -120,7 +128,17 @@
 impl Dispatcher {
     /// A session is over and its client is owed this message. `own_connection_id` is the connection of the session.
     pub(super) fn owe_release(&mut self, now: Point, own_connection_id: u64, session: u64, body: Body) {
-        self.client_releases.add(Message { session, body }, own_connection_id);
+        self.add_release(now, Message { session, body }, own_connection_id, false);
+    }
+
+    /// The same for a session that a client has handed over and that is not kept here.
+    pub(super) fn owe_claim_release(&mut self, now: Point, connection_id: u64, session: u64, body: Body) {
+        self.add_release(now, Message { session, body }, connection_id, true);
+    }
+
+    fn add_release(&mut self, now: Point, message: Message, own_connection_id: u64, is_claimed: bool) {
+        let session = message.session;
+        self.client_releases.add(message, own_connection_id, is_claimed);
         self.send_client_releases(now);
         if self.client_releases.releases.back().is_some_and(|release| release.sent_on.is_empty()) {
             let open = self.viewer_connections.len();
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -11,15 +11,25 @@
 const MAX_CLOSING_CONNECTIONS: usize = 32;
 
 impl Dispatcher {
+    /// Releases a session that only a client has named at the streamer that it named.
+    pub(super) fn release_claimed_at_streamer(&mut self, now: Point, streamer: &Arc<str>, session: u64) {
+        self.release_established(now, streamer, session, true);
+    }
+
     /// Releases a session at its streamer, and again if the connection is lost before the streamer is known to have
     /// read the release. Guards against streams that nobody watches.
     pub(super) fn release_at_streamer(&mut self, now: Point, streamer: &Arc<str>, session: u64) {
+        self.release_established(now, streamer, session, false);
+    }
+
+    fn release_established(&mut self, now: Point, streamer: &Arc<str>, session: u64, is_claimed: bool) {
         let mut release = PendingRelease {
             streamer: streamer.clone(),
             session,
             until: now + RELEASE_RETENTION,
             sent: None,
             dials_if_needed: true,
+            is_claimed,
         };
         self.send_release(now, &mut release);
         self.remember_release(release);
@@ -44,12 +54,15 @@
             until: now + RELEASE_RETENTION,
             sent,
             dials_if_needed: false,
+            is_claimed: false,
         });
     }
 
     fn remember_release(&mut self, release: PendingRelease) {
-        if self.pending_releases.len() >= MAX_REMEMBERED {
-            self.pending_releases.pop_front();
+        let is_same_kind = |other: &PendingRelease| other.is_claimed == release.is_claimed;
+        if self.pending_releases.iter().filter(|other| is_same_kind(other)).count() >= MAX_REMEMBERED {
+            let oldest = self.pending_releases.iter().position(is_same_kind);
+            oldest.and_then(|oldest| self.pending_releases.remove(oldest));
         }
         self.pending_releases.push_back(release);
     }
@@ -61,7 +74,12 @@
             link => link,
         };
         let Some(link) = link else { return };
-        let Some(dial) = self.links.get(&link).map(|streamer_link| streamer_link.link.dial) else { return };
+        let Some(streamer_link) = self.links.get(&link) else { return };
+        if !streamer_link.link.has_room() {
+            // It is sent with the next check: a link with a full queue would be closed.
+            return;
+        }
+        let dial = streamer_link.link.dial;
         let message = Message { session: release.session, body: Body::release(cause::NORMAL) };
         self.send_to_streamer(now, link, message);
         let on = Connection { link, dial };
--- a/crates/lemontide-platform/src/dispatcher/streamer_messages.rs
+++ b/crates/lemontide-platform/src/dispatcher/streamer_messages.rs
@@ -35,6 +35,7 @@
                 self.on_attempt_answered(now, subject.id, description, load)
             }
             Body::Release { cause, load, .. } => {
+                self.unconfirmed_hand_overs.remove(subject.id);
                 self.log_release(now, &subject, message.session, cause);
                 self.on_streamer_release(now, &subject, message.session, cause, load);
             }
@@ -71,7 +72,7 @@
     fn subject_of(&mut self, on: Connection, streamer: Arc<str>, message: &Message) -> Option<Subject> {
         let Some(id) = self.id_by_session.get(&message.session).copied() else {
             if let Body::Release { cause, .. } = message.body {
-                self.remember_untracked_end(message.session, UntrackedEnd::ByStreamer(cause));
+                self.untracked_ends.insert(message.session, UntrackedEnd::ByStreamer(cause));
             }
             return None;
         };
@@ -138,6 +139,7 @@
 
     /// The process at the other end of this connection holds the session.
     fn confirm_process(&mut self, id: u32, on: Connection) {
+        self.unconfirmed_hand_overs.remove(id);
         if !self.is_current(on) {
             return;
         }
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -160,7 +160,7 @@
                     // The session may still be handed over, on another connection.
                     None => {
                         self.client_releases.remove(session);
-                        self.remember_untracked_end(session, UntrackedEnd::ByViewer);
+                        self.untracked_ends.insert(session, UntrackedEnd::ByViewer);
                     }
                 }
             }
@@ -249,14 +249,6 @@
         })
     }
 
-    /// Remembers the end of a session that is not tracked here.
-    pub(super) fn remember_untracked_end(&mut self, session: u64, how: UntrackedEnd) {
-        if self.untracked_ends.len() >= MAX_REMEMBERED {
-            self.untracked_ends.pop_front();
-        }
-        self.untracked_ends.push_back((session, how));
-    }
-
     /// Refuses a set-up that can't be accepted. If its session number belongs to a tracked request on the same
     /// connection, the client could not distinguish the answers, so the connection is closed.
     pub(super) fn refuse(&mut self, now: Point, reply: PendingReply) {
@@ -300,7 +292,7 @@
 
     /// The request to the module for a set-up. `read` is when the set-up was read, and how long it may have waited
     /// unread before: its time runs from then.
-    fn build_request<'a>(&self, id: u32, set_up: &'a SetUp, read: (Point, Span)) -> Request<'a> {
+    pub(super) fn build_request<'a>(&self, id: u32, set_up: &'a SetUp, read: (Point, Span)) -> Request<'a> {
         let figures = set_up.details.clone().unwrap_or_default();
         let class = self.settings.classes.iter().find(|(name, _)| *name == set_up.class);
         // The time that the viewer states counts up to the maximum of the class: otherwise a deadline far ahead would
@@ -320,13 +312,17 @@
         }
     }
 
-    fn next_id(&mut self) -> u32 {
+    pub(super) fn next_id(&mut self) -> u32 {
         self.last_id = self.last_id.wrapping_add(1);
         self.last_id
     }
 
     /// Why a set-up is unusable, its session number included. The reason is logged.
-    fn why_unusable(&self, (connection_id, session): (u64, u64), set_up: &SetUp) -> Option<&'static str> {
+    pub(super) fn why_unusable(
+        &self,
+        (connection_id, session): (u64, u64),
+        set_up: &SetUp,
+    ) -> Option<&'static str> {
         tracing::debug!(target: "decision", session = format!("{session:016x}"), conn = connection_id, set_up = ?Logged(set_up));
         let why = if session == 0 { Some("no id") } else { self.unusable_part(set_up) };
         if let Some(why) = why {
@@ -335,51 +331,6 @@
         why
     }
 
-    /// Takes over a session that plays already. One that can't be used is ignored, as it is owed no answer.
-    fn hand_over(&mut self, now: Point, of: (u64, u64), mut set_up: SetUp, read: (Point, Span)) {
-        let (connection_id, session) = of;
-        let Some(streamer) = set_up.plays_at().cloned() else { return };
-        if self.why_unusable(of, &set_up).is_some() {
-            return;
-        }
-        self.add_viewer_evidence(now, connection_id, ViewerEvidence::SetUp);
-        // The session may be tracked already, or have ended here while its hand-over was on the way.
-        if self.id_by_session.contains_key(&session) || self.ended.contains(session) {
-            return;
-        }
-        // The end of the session may have arrived before its hand-over.
-        let ended = self.untracked_ends.iter().rev().find(|(of, _)| *of == session).map(|(_, how)| *how);
-        match ended {
-            Some(UntrackedEnd::ByStreamer(cause::CANCELLED)) => return,
-            Some(UntrackedEnd::ByStreamer(why)) => {
-                let why = if why == cause::NORMAL { why } else { cause::FAILED };
-                return self.owe_release(now, connection_id, session, Body::release(why));
-            }
-            Some(UntrackedEnd::ByViewer) => {
-                return self.release_at_streamer(now, &streamer.as_str().into(), session)
-            }
-            None => {}
-        }
-        let listed = self.streamers.get_key_value(&*streamer);
-        let Some((streamer, state)) = listed.map(|(streamer, known)| (streamer.clone(), known.state()))
-        else {
-            return self.owe_release(now, connection_id, session, Body::release(cause::FAILED));
-        };
-        if state == StreamerState::Gone {
-            self.release_at_streamer(now, &streamer, session);
-            return self.owe_release(now, connection_id, session, Body::release(cause::FAILED));
-        }
-        let id = self.next_id();
-        let request = self.build_request(id, &set_up, read);
-        let deadline = request.deadline;
-        let handle = self.controller.adopt(now, &request, &streamer);
-        set_up.description = Bytes::new();
-        let tracked = TrackedSession::new((connection_id, session), handle, None, set_up, (read.0, deadline));
-        self.sessions.insert(id, TrackedSession { streamer, playing_since: Some(now), ..tracked });
-        self.id_by_session.insert(session, id);
-        self.apply_actions(now);
-    }
-
     /// Handles a new request.
     fn handle_request(&mut self, now: Point, reply: PendingReply, set_up: SetUp, read: (Point, Span)) {
         let (connection_id, session) = (reply.conn(), reply.session());
@@ -441,8 +392,13 @@
 
     /// The viewer ends a playing session; it is owed no release.
     pub(super) fn on_viewer_ended(&mut self, now: Point, id: u32) {
+        let is_claimed = self.unconfirmed_hand_overs.contains(id);
         let Some(tracked) = self.remove(now, id) else { return };
-        self.release_at_streamer(now, &tracked.streamer, tracked.session);
+        if is_claimed {
+            self.release_claimed_at_streamer(now, &tracked.streamer, tracked.session);
+        } else {
+            self.release_at_streamer(now, &tracked.streamer, tracked.session);
+        }
         tracked.handle.attempt_ended(
             &mut self.controller,
             now,
--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,8 @@
 /// Range of the random delay before an upgrade; the upper end is also the least time between two upgrades.
 const MIN_UPGRADE_DELAY_S: f64 = 2.0;
 const MAX_UPGRADE_DELAY_S: f64 = 4.0;
+/// Part of a streamer's streams that adopted sessions can take until it has confirmed them.
+const MAX_UNCONFIRMED_PART: f64 = 0.5;
 /// Assumed age of the load that comes with an answer.
 const ANSWER_LOAD_AGE: Span = Span::of_millis(400);
 /// Part by which the load in an answer, which is noisy, moves the known value.
--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -21,6 +21,14 @@
         free_streams.min(self.spare_rate(now, streamer_index, max_utilization) / kb)
     }
 
+    /// Whether another session can be adopted at a streamer that has not confirmed `unconfirmed` adopted ones. These
+    /// take a part of its streams only: otherwise sessions that nobody has make it seem full, and no attempt there
+    /// ever brings the report that shows how empty it is.
+    pub fn can_adopt(&self, streamer: &str, unconfirmed: usize) -> bool {
+        let known = self.by_name.get(streamer).map(|index| &self.streamers[*index]);
+        known.is_some_and(|known| unconfirmed as f64 + 1.0 <= known.max_streams * MAX_UNCONFIRMED_PART)
+    }
+
     /// Number of own viewers, `x` in phi, that share a live stream at this streamer and rung.
     pub(super) fn sharing_viewers(&self, slot: usize, streamer_index: usize, rung: usize) -> f64 {
         let session = &self.sessions[slot];
