--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,7 @@
 //! `sharing_viewers`, a is `capacity`.
 
 mod capacity;
+mod holders;
 mod policy;
 mod session;
 mod streamer;
@@ -288,23 +289,7 @@
     }
 
     fn create_session(&mut self, now: Point, request: &Request, is_first: bool) -> SessionHandle {
-        let title_index = self.by_title.get(request.title).copied().unwrap_or_else(|| {
-            let index = self.titles.insert(Title::default());
-            self.by_title.insert(request.title.to_owned(), index);
-            index
-        });
-        let title = &mut self.titles[title_index];
-        title.last_requested = now;
-        // Every request states the cells of its title: a title that moved must not be requested from its old ones.
-        let holders_key = (self.list_revision, request.first_cell, request.replicas);
-        if title.holders_key != holders_key {
-            let cells = self.policy.number_or("cells", 1.0).max(1.0) as usize;
-            let holds =
-                |s: &Streamer| (s.cell + cells - request.first_cell % cells) % cells < request.replicas;
-            let holders = self.streamers.iter().filter(|(_, s)| holds(s));
-            title.holders = holders.map(|(index, _)| index).collect();
-            title.holders_key = holders_key;
-        }
+        let title_index = self.record_title(now, request);
         let class_index = self.classes.iter().position(|c| c.name == request.class).unwrap_or_else(|| {
             // A class that the settings do not name is served under the strictest rules.
             self.classes.push(Class::unconfigured(request.class, self.ladder.rates_kb_per_s.len() - 1));
@@ -342,6 +327,7 @@
 
     /// Probes a holder for a waiting session, starts its next attempt, or gives its final answer.
     fn place_session(&mut self, now: Point, slot: usize) {
+        self.refresh_holders(self.sessions[slot].title);
         let session = &self.sessions[slot];
         let (class_index, min_rung) = (session.class, session.min_rung);
         let class = &self.classes[class_index];
@@ -780,33 +766,6 @@
         self.remove_unused(now);
     }
 
-    /// Removes streamers that left the list and titles that are no longer requested, once no session refers to
-    /// them: otherwise memory grows with every new name.
-    fn remove_unused(&mut self, now: Point) {
-        let retention = get_span(&self.policy.settings, "cold.span").max(Span::of(2.0 * REPORT_STALE_S));
-        let sessions = &self.sessions;
-        let is_used = |index: usize| {
-            sessions.iter().any(|(_, s)| s.streamer == index || s.first_error_streamer == Some(index))
-        };
-        let count_before = self.streamers.len();
-        self.streamers.retain(|index, s| {
-            s.unlisted_since.is_none_or(|since| now - since <= retention) || is_used(index)
-        });
-        if self.streamers.len() < count_before {
-            self.list_revision += 1;
-            self.by_name.retain(|_, index| self.streamers.contains(*index));
-        }
-        self.titles.retain(|index, t| {
-            now - t.last_requested <= retention || sessions.iter().any(|(_, s)| s.title == index)
-        });
-        self.by_title.retain(|_, index| self.titles.contains(*index));
-    }
-
-    /// Numbers of streamers and of titles of which anything is known.
-    pub fn known_counts(&self) -> (usize, usize) {
-        (self.streamers.len(), self.titles.len())
-    }
-
     /// Upgrades own sessions at a streamer into their part of its spare rate, in proportion to the rate that they
     /// use: once for each load report, best steps first. A step larger than what is left of that part is taken
     /// with a probability in proportion.
--- a/src/records.rs
+++ b/src/records.rs
@@ -121,8 +121,10 @@
 #[derive(Default)]
 pub struct Title {
     pub holders: Vec<usize>,
-    /// List revision, first cell and number of cells for which `holders` is valid.
-    pub holders_key: (u64, usize, usize),
+    /// First cell and number of cells that hold it, as the last request states them.
+    pub cells: (usize, usize),
+    /// List revision for which `holders` is valid, if there is one.
+    pub holders_revision: Option<u64>,
     pub last_requested: Point,
     /// The holder of its last attempt, and when that was.
     pub preferred_holder: Option<(usize, Point)>,
