--- a/crates/lemontide-front/src/core/links.rs
+++ b/crates/lemontide-front/src/core/links.rs
@@ -139,6 +139,18 @@
         self.state = State::Down { redial_at: now + delay };
     }
 
+    /// Whether the delay after the last failure is over.
+    pub fn is_redial_due(&self, now: Point) -> bool {
+        matches!(self.state, State::Down { redial_at } if now >= redial_at) && self.can_dial(now)
+    }
+
+    /// The link is down after it had worked, and can be dialled without a delay.
+    pub fn redial_at_once(&mut self, now: Point) {
+        if let State::Down { redial_at } = &mut self.state {
+            *redial_at = now;
+        }
+    }
+
     /// The link is closed because nothing needs it. This is no failure; it is dialled again when something needs it.
     pub fn close_idle(&mut self, now: Point) {
         self.state = State::Down { redial_at: now };
--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod client_releases;
+mod connection_needs;
 mod connections;
 mod ended;
 mod hand_overs;
@@ -25,6 +26,7 @@
 use crate::viewers::Outgoing;
 use bytes::Bytes;
 use client_releases::{ClientReleases, ViewerEvidence};
+use connection_needs::{LossCause, Unheard};
 use ended::EndedSessions;
 use hand_overs::UnconfirmedHandOvers;
 use lemontide::clock::{Point, Span};
@@ -112,8 +114,10 @@
     Refused,
     /// The dial timed out or failed in another way.
     DialFailed,
-    /// The connection was up and broke, could not be read any more, or was closed by this end.
+    /// The connection was up and broke, or was closed by this end.
     Disconnected,
+    /// What was read on the connection can't be used. The streamer may still send on it.
+    Unusable,
 }
 
 /// The value of the log field `loss`, which keeps its first names.
@@ -122,7 +126,7 @@
         to.write_str(match self {
             ConnectionLoss::Refused => "Refused",
             ConnectionLoss::DialFailed => "Dark",
-            ConnectionLoss::Disconnected => "Broke",
+            ConnectionLoss::Disconnected | ConnectionLoss::Unusable => "Broke",
         })
     }
 }
@@ -270,6 +274,8 @@
     link_ids: Vec<u64>,
     /// Since when no connection to it could be established.
     unreachable_since: Option<Point>,
+    /// What is missing before everything is heard that it has said of the sessions that play there.
+    unheard: Unheard,
 }
 
 impl KnownStreamer {
@@ -291,6 +297,8 @@
 struct StreamerLink {
     streamer: Arc<str>,
     link: Link<OutboundMessage>,
+    /// Number of its last dial among all dials.
+    dial_number: u64,
     /// Set-ups that wait to be written on it or are unanswered on it.
     pending_set_ups: usize,
     /// Set if a set-up got no answer on it: it is closed if nothing is received on it until then.
@@ -377,6 +385,8 @@
     random: StdRng,
     last_id: u32,
     last_link: u64,
+    /// Number of dials so far.
+    last_dial: u64,
     stopping_since: Option<Point>,
     /// How long this process did not run before the messages that are being handled.
     read_delay: Span,
@@ -428,6 +438,7 @@
             random: StdRng::seed_from_u64(seed),
             last_id: 0,
             last_link: 0,
+            last_dial: 0,
             stopping_since: None,
             read_delay: Span::ZERO,
             undecided: VecDeque::new(),
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -479,7 +479,7 @@
         let Some(link) = link.or_else(|| self.dial_now(now, &streamer)) else {
             // If this process has no descriptor left, that proves nothing about the streamer.
             let outcome =
-                if self.can_dial() { AttemptOutcome::NoConnection } else { AttemptOutcome::NotSent };
+                if self.can_dial(&streamer) { AttemptOutcome::NoConnection } else { AttemptOutcome::NotSent };
             return self.end_unbegun(now, vec![(id, number)], outcome);
         };
         let Some(streamer_link) = self.links.get_mut(&link) else { return };
--- a/crates/lemontide-platform/src/dispatcher/connections.rs
+++ b/crates/lemontide-platform/src/dispatcher/connections.rs
@@ -127,8 +127,11 @@
             return;
         }
         let link = on.link;
-        if let Some(streamer_link) = self.links.get_mut(&link) {
-            streamer_link.link.connected(now);
+        let Some(streamer_link) = self.links.get_mut(&link) else { return };
+        streamer_link.link.connected(now);
+        let (streamer, dial_number) = (streamer_link.streamer.clone(), streamer_link.dial_number);
+        self.note_connected(now, &streamer, dial_number);
+        if let Some(streamer_link) = self.links.get(&link) {
             let streamer = &streamer_link.streamer;
             let known = self.streamers.get(streamer);
             let address = known.map_or("", |known| &known.entry.address);
@@ -156,23 +159,31 @@
         if loss == ConnectionLoss::Refused {
             self.apply_evidence(now, on, None, Evidence::ConnectRefused);
         }
-        self.handle_loss(now, on.link, loss);
+        let cause = match loss {
+            ConnectionLoss::Unusable => LossCause::ThisEnd { awaits_close: false },
+            _ => LossCause::Streamer,
+        };
+        self.handle_loss(now, on.link, loss, cause);
         self.apply_actions(now);
     }
 
     /// The socket of a connection is closed, by its streamer or by this end alone.
     pub fn on_connection_closed(&mut self, now: Point, on: Connection, by_streamer: bool) {
-        self.closing.remove(&on);
+        if let Some(streamer) = self.closing.remove(&on) {
+            self.note_closed(now, on, &streamer, by_streamer);
+        }
         if by_streamer {
             self.on_closed_by_streamer(now, on);
-            self.apply_actions(now);
         }
+        // The descriptor is free now.
+        self.open_needed_connections(now);
+        self.apply_actions(now);
     }
 
     /// Begins to await the streamer's close of this connection if that is worth a descriptor, and returns whether it is
-    /// awaited. It is if an attempt may be unanswered on the connection or, where the streamer was active lately
-    /// (`is_alive`), if a session plays there, whose release may have been sent.
-    fn await_close_if_useful(&mut self, on: Connection, is_alive: bool) -> bool {
+    /// awaited. It is if an attempt may be unanswered on the connection or, with `is_read_on`, if a session plays
+    /// there, whose release may have been sent.
+    fn await_close_if_useful(&mut self, on: Connection, is_read_on: bool) -> bool {
         let Some(streamer_link) = self.links.get(&on.link).filter(|streamer_link| streamer_link.link.is_up())
         else {
             return false;
@@ -182,7 +193,7 @@
             tracked.attempt.as_ref().is_some_and(|attempt| attempt.on == on && attempt.permit.has_begun())
         };
         let plays = |tracked: &TrackedSession| {
-            is_alive && tracked.playing_since.is_some() && tracked.streamer == streamer
+            is_read_on && tracked.playing_since.is_some() && tracked.streamer == streamer
         };
         let is_of_use = self.sessions.values().any(|tracked| is_out(tracked) || plays(tracked));
         let awaits = is_of_use && self.closing.len() < MAX_CLOSING_CONNECTIONS;
@@ -192,11 +203,13 @@
         awaits
     }
 
-    fn handle_loss(&mut self, now: Point, link: u64, loss: ConnectionLoss) {
+    fn handle_loss(&mut self, now: Point, link: u64, loss: ConnectionLoss, cause: LossCause) {
         let jitter = self.random.random::<f64>();
         let waiting = self.withdraw_waiting(link);
         let Some(streamer_link) = self.links.get_mut(&link) else { return };
         let streamer = streamer_link.streamer.clone();
+        let was_up = streamer_link.link.is_up();
+        let on = Connection { link, dial: streamer_link.link.dial };
         streamer_link.link.disconnected(now, jitter);
         streamer_link.suspect_until = None;
         streamer_link.link.withdraw_all();
@@ -217,9 +230,12 @@
                 *other != link && links.get(other).is_some_and(|streamer_link| streamer_link.link.is_up())
             })
         };
+        if was_up {
+            self.note_lost_connection(on, &streamer, cause);
+        }
         let Some(known) = self.streamers.get_mut(&streamer) else { return };
         let is_last = !others(known, &self.links);
-        if known.link_ids.len() > 1 {
+        if known.link_ids.len() > 1 && known.unheard == Unheard::Nothing {
             known.link_ids.retain(|other| *other != link);
         }
         let is_kept = known.link_ids.contains(&link);
@@ -245,9 +261,22 @@
         if is_gone {
             self.remove_if_gone(now, &streamer);
         } else if is_kept
-            && loss == ConnectionLoss::Disconnected
+            && was_up
+            && loss != ConnectionLoss::Refused
             && self.links.get(&link).is_some_and(can_redial)
         {
+            self.redial_at_once(now, link, &streamer);
+        }
+        self.send_awaited_test(now, &streamer);
+    }
+
+    /// Dials a link that has worked until now, without a delay and as soon as a connection is free for it.
+    fn redial_at_once(&mut self, now: Point, link: u64, streamer: &str) {
+        if let Some(streamer_link) = self.links.get_mut(&link) {
+            streamer_link.link.redial_at_once(now);
+        }
+        let is_needed = self.best_link(streamer).is_none() || self.needs_new_connection(streamer);
+        if is_needed && self.can_dial(streamer) {
             self.dial(now, link);
         }
     }
@@ -280,6 +309,7 @@
                 self.add_link(now, streamer);
             }
         }
+        self.open_needed_connections(now);
         let links: Vec<u64> = self.links.keys().copied().collect();
         for link in links {
             let Some(streamer_link) = self.links.get_mut(&link) else { continue };
@@ -297,7 +327,7 @@
                 // Nothing needs this streamer now, so failed dials of this time prove nothing about sessions that play
                 // there later.
                 if let Some(known) = self.streamers.get_mut(&streamer_link.streamer) {
-                    known.unreachable_since = None;
+                    (known.unreachable_since, known.unheard) = (None, Unheard::Nothing);
                 }
             }
             let verdict = streamer_link.link.check(now, gap);
@@ -315,7 +345,7 @@
                     self.close_link(now, link, ConnectionLoss::Disconnected, CloseReason::Unanswered)
                 }
                 LinkAction::None => {}
-                LinkAction::Dial => self.dial(now, link),
+                LinkAction::Dial => self.dial_or_drop(now, link),
                 LinkAction::Ping => {
                     self.send_test(now, link);
                 }
@@ -334,6 +364,7 @@
         let streamer_link = StreamerLink {
             streamer: streamer.clone(),
             link: Link::new(now),
+            dial_number: 0,
             pending_set_ups: 0,
             suspect_until: None,
         };
@@ -341,58 +372,56 @@
         self.dial(now, self.last_link);
     }
 
+    /// Dials a link whose delay is over, or removes it if its streamer has another connection and needs no new one.
+    fn dial_or_drop(&mut self, now: Point, link: u64) {
+        let Some(streamer) = self.links.get(&link).map(|streamer_link| streamer_link.streamer.clone()) else {
+            return;
+        };
+        let has_other = self.best_link(&streamer).is_some();
+        if !has_other || self.needs_new_connection(&streamer) {
+            return self.dial(now, link);
+        }
+        self.links.remove(&link);
+        if let Some(known) = self.streamers.get_mut(&streamer) {
+            known.link_ids.retain(|other| *other != link);
+        }
+    }
+
     /// Dials the streamer of a link. If descriptors are short, a spare connection is closed first.
     pub(super) fn dial(&mut self, now: Point, link: u64) {
-        if !self.can_dial() {
+        let Some(streamer) = self.links.get(&link).map(|streamer_link| streamer_link.streamer.clone()) else {
+            return;
+        };
+        if !self.can_dial(&streamer) {
             self.close_spare_connection(now);
         }
-        let can_dial = self.can_dial();
+        let can_dial = self.can_dial(&streamer);
         let Some(streamer_link) = self.links.get_mut(&link).filter(|_| can_dial) else { return };
         let known = self.streamers.get(&streamer_link.streamer);
         // The address of a streamer that is gone may belong to another one.
         let Some(known) = known.filter(|known| known.state() != StreamerState::Gone) else { return };
         let dial = streamer_link.link.start_dial(now, self.settings.dial_timeout);
+        self.last_dial += 1;
+        streamer_link.dial_number = self.last_dial;
         let on = Connection { link, dial };
         self.effects.push(Effect::Dial { on, address: known.entry.address.clone() });
     }
 
-    /// Whether one more connection stays within the descriptors that are reserved for streamers. Guards against more
-    /// streamers than descriptors: the list and the viewers have their own.
-    pub(super) fn can_dial(&self) -> bool {
-        let is_live =
-            |streamer_link: &&StreamerLink| streamer_link.link.is_up() || streamer_link.link.is_dialling();
-        self.links.values().filter(is_live).count() + self.closing.len() < self.settings.max_connections
-    }
-
-    /// Closes a connection that nothing needs, the longest idle first, or otherwise one of several to the same
-    /// streamer.
-    fn close_spare_connection(&mut self, now: Point) {
-        let has_several =
-            |streamer: &Arc<str>| self.streamers.get(streamer).is_some_and(|known| known.link_ids.len() > 1);
-        let is_free = |streamer_link: &StreamerLink| {
-            streamer_link.link.is_up()
-                && streamer_link.pending_set_ups == 0
-                && (streamer_link.link.idle_since.is_some() || has_several(&streamer_link.streamer))
-        };
-        let candidates = self.links.iter().filter(|(_, streamer_link)| is_free(streamer_link));
-        let first = candidates.min_by_key(|(_, streamer_link)| {
-            (streamer_link.link.idle_since.is_none(), streamer_link.link.idle_since)
-        });
-        if let Some(link) = first.map(|(link, _)| *link) {
-            self.close_link(now, link, ConnectionLoss::Disconnected, CloseReason::MakesRoom);
-        }
-    }
-
     /// Closes the connection of a link from this end.
     pub(super) fn close_link(&mut self, now: Point, link: u64, loss: ConnectionLoss, reason: CloseReason) {
         let Some(streamer_link) = self.links.get(&link) else { return };
         if streamer_link.link.is_up() || streamer_link.link.is_dialling() {
             let on = Connection { link, dial: streamer_link.link.dial };
-            let is_alive = matches!(reason, CloseReason::Unanswered | CloseReason::QueueFull);
-            let awaits_close = self.await_close_if_useful(on, is_alive);
+            // What a streamer sends until it has noticed the close is read, where there are descriptors to spare.
+            let is_read_on = match reason {
+                CloseReason::Unanswered | CloseReason::QueueFull | CloseReason::MakesRoom => true,
+                CloseReason::Silent => self.free_connection_count() > 0,
+                CloseReason::Idle | CloseReason::AddressChanged | CloseReason::StreamerGone => false,
+            };
+            let awaits_close = self.await_close_if_useful(on, is_read_on);
             tracing::debug!(target: "attempt", ?on, ?reason, awaits_close, "closes a connection to a streamer");
             self.effects.push(Effect::Close { on, awaits_close });
-            self.handle_loss(now, link, loss);
+            self.handle_loss(now, link, loss, LossCause::ThisEnd { awaits_close });
         }
     }
 
--- a/crates/lemontide-platform/src/dispatcher/list.rs
+++ b/crates/lemontide-platform/src/dispatcher/list.rs
@@ -61,6 +61,7 @@
                     is_superseded: false,
                     link_ids: Vec::new(),
                     unreachable_since: None,
+                    unheard: Unheard::Nothing,
                 };
                 self.streamers.insert(entry.id.as_str().into(), known);
             }
--- a/crates/lemontide-platform/src/dispatcher/streamer_messages.rs
+++ b/crates/lemontide-platform/src/dispatcher/streamer_messages.rs
@@ -28,6 +28,9 @@
                 streamer_link.link.message_received(now);
                 streamer_link.suspect_until = None;
             }
+            if let Body::TestResult { .. } = message.body {
+                self.note_test_passed(now, &streamer, message.session);
+            }
         }
         let Some(subject) = self.subject_of(on, streamer, &message) else { return };
         match message.body {
--- a/crates/lemontide-platform/src/streamers.rs
+++ b/crates/lemontide-platform/src/streamers.rs
@@ -152,7 +152,7 @@
             let _ = reports.send(Report::Closed { connection, by_streamer: true }).await;
             return;
         }
-        ConnectionEnd::Unusable(reader) => (Some(ConnectionLoss::Disconnected), reader),
+        ConnectionEnd::Unusable(reader) => (Some(ConnectionLoss::Unusable), reader),
     };
     let mut awaits_streamer = loss.is_none();
     if let Some(loss) = loss {
--- a/crates/lemontide-platform/tests/common/mod.rs
+++ b/crates/lemontide-platform/tests/common/mod.rs
@@ -82,6 +82,8 @@
     pub last_dials: BTreeMap<u64, u64>,
     /// Address of each link's streamer.
     pub addresses: HashMap<u64, String>,
+    /// The address of each dial, in order.
+    pub dialled: Vec<String>,
     /// Links that the dispatcher closed.
     pub closed_links: Vec<u64>,
     /// How dials to these addresses fail; all others succeed.
@@ -112,10 +114,15 @@
     /// A harness with these settings. It begins a while after the controller's start, as a controller that was just
     /// started sends little.
     pub fn with_settings(settings: Json) -> Harness {
+        Harness::with_descriptors(settings, 256)
+    }
+
+    /// The same with this number of descriptors, a third of which is for connections to streamers.
+    pub fn with_descriptors(settings: Json, descriptors: usize) -> Harness {
         let now = Point::at(1000.0);
         let controller_settings = lemontide_settings::parse_settings(&settings).expect("valid settings");
         let dispatcher_settings =
-            serve::dispatcher_settings(&controller_settings, &settings, 256).expect("valid settings");
+            serve::dispatcher_settings(&controller_settings, &settings, descriptors).expect("valid settings");
         let mut harness = Harness {
             dispatcher: Dispatcher::new(now, 7, &controller_settings, dispatcher_settings),
             now,
@@ -125,6 +132,7 @@
             close_if_idle: Vec::new(),
             last_dials: BTreeMap::new(),
             addresses: HashMap::new(),
+            dialled: Vec::new(),
             closed_links: Vec::new(),
             unreachable: HashMap::new(),
             stalled: BTreeSet::new(),
@@ -193,6 +201,15 @@
         })
     }
 
+    /// The last session that was set up on this link.
+    pub fn last_session_on(&self, link: u64) -> (u64, SetUp) {
+        let last = self.written.iter().rev().find_map(|(on, message)| match &message.body {
+            Body::SetUp(set_up) if *on == link => Some((message.session, set_up.clone())),
+            _ => None,
+        });
+        last.expect("a session")
+    }
+
     pub fn attempt_count(&self, session: u64) -> usize {
         let is_attempt = |(_, message): &&(u64, Message)| {
             message.session == session && matches!(message.body, Body::SetUp(_))
@@ -235,6 +252,12 @@
         self.streamer_sends(session, Body::release(cause));
     }
 
+    /// How many dials of this streamer there were.
+    pub fn dial_count(&self, at: usize) -> usize {
+        let address = list_entry(at, "in_service").address;
+        self.dialled.iter().filter(|dialled| **dialled == address).count()
+    }
+
     /// The connection of the link's last dial.
     pub fn current_connection(&self, link: u64) -> Connection {
         Connection { link, dial: self.last_dials.get(&link).copied().unwrap_or(0) }
@@ -323,6 +346,7 @@
                     Effect::Dial { on, address } => {
                         self.last_dials.insert(on.link, on.dial);
                         let loss = self.unreachable.get(&address).copied();
+                        self.dialled.push(address.clone());
                         self.addresses.insert(on.link, address);
                         match loss {
                             _ if self.dials_stall => {}
