--- a/crates/lemontide-platform/src/dispatcher/connection_needs.rs
+++ b/crates/lemontide-platform/src/dispatcher/connection_needs.rs
@@ -133,9 +133,19 @@
         self.settings.max_connections.saturating_sub(self.open_connection_count())
     }
 
-    /// Whether a connection is free.
-    pub(super) fn can_dial(&self, _streamer: &str) -> bool {
-        self.free_connection_count() > 0
+    /// Whether a connection is free for this streamer. Streamers at which sessions play come first: new set-ups leave
+    /// a connection for each of them that waits for one.
+    pub(super) fn can_dial(&self, streamer: &str) -> bool {
+        let free = self.free_connection_count();
+        if free == 0 || free > self.streamers.len() {
+            return free > 0;
+        }
+        let waiting: Vec<Arc<str>> = self
+            .streamers_with_sessions()
+            .into_iter()
+            .filter(|waiting| self.waits_for_connection(waiting))
+            .collect();
+        waiting.iter().any(|waiting| &**waiting == streamer) || free > waiting.len()
     }
 
     /// Opens the connections that streamers with sessions wait for, as far as there are free ones. Failed dials are
--- a/crates/lemontide-platform/tests/connection_needs.rs
+++ b/crates/lemontide-platform/tests/connection_needs.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
-use common::{set_up_of, Harness};
+use common::{list_entry, set_up_of, settings, Harness, STREAMERS};
 use lemontide_platform::codec::SetUp;
 use lemontide_platform::dispatcher::ConnectionLoss;
 
+/// So few descriptors that three connections to streamers are allowed.
+const FEW_DESCRIPTORS: usize = 9;
+const MAX_CONNECTIONS: usize = 3;
+
 /// A set-up of a title that one streamer alone holds.
 fn set_up_at(streamer: usize) -> SetUp {
     let mut set_up = set_up_of("free");
@@ -109,3 +113,57 @@
         "one in its place, and one after its streamer passed a test"
     );
 }
+
+/// A dispatcher whose connections are all used by sessions, with the links.
+fn sessions_at_the_limit() -> (Harness, Vec<u64>) {
+    let mut harness = Harness::with_descriptors(settings(), FEW_DESCRIPTORS);
+    let links = (0..MAX_CONNECTIONS).map(|at| play_at(&mut harness, at).1).collect();
+    harness.advance(0.5);
+    (harness, links)
+}
+
+/// Guards against new set-ups that take the place of a connection that was reset: the sessions at its streamer would
+/// end unheard (review/9).
+#[test]
+fn a_lost_connection_is_dialled_again_before_new_set_ups_take_its_place() {
+    let (mut harness, links) = sessions_at_the_limit();
+    let before = harness.dial_count(0);
+    harness.lose_connection(links[0], ConnectionLoss::Disconnected);
+    harness.request_on(common::VIEWERS, set_up_at(STREAMERS - 1));
+    harness.advance(0.5);
+    assert_eq!((harness.dial_count(0), harness.dial_count(STREAMERS - 1)), (before + 1, 0));
+}
+
+/// The same while dials fail: the place stays for the streamer at which sessions play.
+#[test]
+fn a_place_is_kept_for_a_streamer_with_sessions_while_its_dials_fail() {
+    let (mut harness, links) = sessions_at_the_limit();
+    let address = list_entry(0, "in_service").address;
+    harness.unreachable.insert(address.clone(), ConnectionLoss::DialFailed);
+    harness.lose_connection(links[0], ConnectionLoss::Disconnected);
+    for _ in 0..8 {
+        harness.request_on(common::VIEWERS, set_up_at(STREAMERS - 1));
+        harness.advance(0.1);
+    }
+    harness.unreachable.remove(&address);
+    let before = harness.dial_count(0);
+    harness.advance(1.0);
+    assert_eq!((harness.dial_count(0), harness.dial_count(STREAMERS - 1)), (before + 1, 0));
+}
+
+/// At the limit, set-ups go on to streamers that are connected, and to others once a place is free.
+#[test]
+fn set_ups_are_served_at_the_limit_of_connections() {
+    let (mut harness, links) = sessions_at_the_limit();
+    play_at(&mut harness, 1);
+    let refused = harness.request_on(common::VIEWERS, set_up_at(STREAMERS - 1));
+    assert!(Harness::is_rejection(harness.final_answer(refused).expect("told at once")));
+    let (session, _) = harness.last_session_on(links[2]);
+    harness.streamer_sends_on(
+        links[2],
+        session,
+        lemontide_platform::codec::Body::release(lemontide_platform::codec::cause::NORMAL),
+    );
+    harness.advance(0.5);
+    play_at(&mut harness, STREAMERS - 1);
+}
