--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 use crate::random::Random;
 use crate::records::{
     Class, CoveredTurns, FleetEstimate, Ladder, LinkLoad, ListPolling, Policy, Session, SessionState,
-    Streamer, Tenant, Title,
+    Streamer, Tenant, Title, TitleKey,
 };
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
@@ -109,7 +109,7 @@
     list_revision: u64,
     racks: Vec<LinkLoad>,
     titles: Slab<Title>,
-    by_title: HashMap<String, usize>,
+    by_title: HashMap<TitleKey, usize>,
     sessions: Slab<Session>,
     last_serial: u64,
     recent_requests: VecDeque<Point>,
--- a/src/control/holders.rs
+++ b/src/control/holders.rs
@@ -2,16 +2,27 @@
 //! used again: whatever keeps the place of a streamer is corrected here when that streamer is removed.
 
 use super::*;
+use std::collections::HashSet;
+
+/// Number of titles without a session from which these are forgotten: clients can ask for any name.
+const MAX_UNUSED_TITLES: usize = 4096;
 
 impl Controller {
     /// The title of a request. Every request states the cells of its title: a title that moved must not be requested
     /// from its old ones.
     pub(super) fn record_title(&mut self, now: Point, request: &Request) -> usize {
-        let title_index = self.by_title.get(request.title).copied().unwrap_or_else(|| {
-            let index = self.titles.insert(Title::default());
-            self.by_title.insert(request.title.to_owned(), index);
-            index
-        });
+        let key = TitleKey::of(request.title);
+        let title_index = match self.by_title.get(&key) {
+            Some(index) => *index,
+            None => {
+                if self.titles.len() >= self.sessions.len() + MAX_UNUSED_TITLES {
+                    self.remove_unused_titles(|_| false);
+                }
+                let index = self.titles.insert(Title::default());
+                self.by_title.insert(key, index);
+                index
+            }
+        };
         let title = &mut self.titles[title_index];
         title.last_requested = now;
         let cells = (request.first_cell, request.replicas);
@@ -48,15 +59,19 @@
         self.streamers.retain(|index, s| {
             s.unlisted_since.is_none_or(|since| now - since <= retention) || is_used(index)
         });
-        self.titles.retain(|index, t| {
-            now - t.last_requested <= retention || sessions.iter().any(|(_, s)| s.title == index)
-        });
-        self.by_title.retain(|_, index| self.titles.contains(*index));
+        self.remove_unused_titles(|title| now - title.last_requested <= retention);
         if self.streamers.len() < count_before {
             self.forget_removed_places();
         }
     }
 
+    /// Removes the titles that no session refers to, except for some.
+    fn remove_unused_titles(&mut self, is_kept: impl Fn(&Title) -> bool) {
+        let used: HashSet<usize> = self.sessions.iter().map(|(_, session)| session.title).collect();
+        self.titles.retain(|index, title| is_kept(title) || used.contains(&index));
+        self.by_title.retain(|_, index| self.titles.contains(*index));
+    }
+
     /// Corrects what keeps places of streamers, before another streamer gets one of them.
     fn forget_removed_places(&mut self) {
         self.list_revision += 1;
--- a/src/records.rs
+++ b/src/records.rs
@@ -3,6 +3,7 @@
 use crate::clock::{Point, Span};
 use crate::interface::{get_number, get_span, get_text, ControllerSettings};
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// The rules of one class of requests.
@@ -117,6 +118,22 @@
     pub growth_since_report: f64,
 }
 
+/// Stands for the name of a title. Names are as long as clients choose, and a key is not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TitleKey(u64, u64);
+
+impl TitleKey {
+    /// The key of the title with this name: two hashes, so that names with the same key are not found by chance.
+    pub fn of(name: &str) -> TitleKey {
+        let hash = |salt: u8| {
+            let mut hasher = DefaultHasher::new();
+            (salt, name).hash(&mut hasher);
+            hasher.finish()
+        };
+        TitleKey(hash(0), hash(1))
+    }
+}
+
 /// A title, with the streamers that hold it.
 #[derive(Default)]
 pub struct Title {
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -74,3 +74,20 @@
     let next = &controller.actions.attempts[0].streamer;
     assert!(!holds(next, 0), "{next} has moved as {first} has, and does not hold the title");
 }
+
+/// Guards against memory that grows with every new name of a title that a client asks for.
+#[test]
+fn titles_that_nobody_watches_are_bounded_under_ever_new_names() {
+    const NAMES: u32 = 50_000;
+    const MAX_TITLES: usize = 4100;
+    let (mut controller, now) = single_controller(&[]);
+    let watched = controller.submit(now, &request(1, FREE, "watched", 0, now + seconds(9.0)));
+    watched.playing(&mut controller, now);
+    for id in 2..NAMES {
+        let name = format!("title {id}");
+        let asked = controller.submit(now, &request(id, FREE, &name, 0, now + seconds(1.0)));
+        asked.attempt_ended(&mut controller, now, AttemptOutcome::Cancelled, true, Load::default());
+        controller.actions.clear();
+        assert!(controller.known_counts().1 <= MAX_TITLES, "{:?}", controller.known_counts());
+    }
+}
