--- a/crates/lemontide-platform/src/codec.rs
+++ b/crates/lemontide-platform/src/codec.rs
@@ -8,6 +8,8 @@
 
 /// Maximum length of a message after its length field: type, session and parameters.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+/// Buffer space that is made at a time for the rest of a message.
+const MAX_RESERVED_BYTES: usize = 2048;
 /// Type and session of a message; the parameters follow.
 const HEADER_BYTES: usize = 9;
 
@@ -110,6 +112,11 @@
         self.details.as_ref()?.playing_at.as_ref()
     }
 
+    /// Size of what its client has chosen freely: names and description, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        self.class.len() + self.tenant.len() + self.title.len() + self.description.len()
+    }
+
     /// Drops what no further attempt needs: the description and the name of the title, whose lengths its client chose.
     pub fn drop_payload(&mut self) {
         self.description = Bytes::new();
@@ -185,6 +192,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Codec;
 
+impl Codec {
+    /// The length of the message that these bytes begin with, as it states it, without the length field.
+    pub fn message_length(bytes: &[u8]) -> Option<usize> {
+        let head = bytes.get(..2)?;
+        Some(usize::from(u16::from_be_bytes([head[0], head[1]])))
+    }
+}
+
 fn invalid_data(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
@@ -261,7 +276,11 @@
             is_retry,
             details,
             rung,
-            description: self.bytes(code::DESCRIPTION).cloned().ok_or("no description")?,
+            // A copy: a part of the read buffer would keep all of it.
+            description: self
+                .bytes(code::DESCRIPTION)
+                .map(|d| Bytes::copy_from_slice(d))
+                .ok_or("no description")?,
         })
     }
 
@@ -324,13 +343,13 @@
     type Error = io::Error;
 
     fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<Message>> {
-        let Some(head) = from.get(..2) else { return Ok(None) };
-        let length = usize::from(u16::from_be_bytes([head[0], head[1]]));
+        let Some(length) = Codec::message_length(from) else { return Ok(None) };
         if !(HEADER_BYTES..=MAX_MESSAGE_BYTES).contains(&length) {
             return Err(invalid_data("the length of a message is out of range"));
         }
         if from.len() < 2 + length {
-            from.reserve(2 + length - from.len());
+            // No more than a part at a time: the length is what the other end says, and may never come.
+            from.reserve((2 + length - from.len()).min(MAX_RESERVED_BYTES));
             return Ok(None);
         }
         from.advance(2);
--- a/crates/lemontide-platform/src/dispatcher.rs
+++ b/crates/lemontide-platform/src/dispatcher.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod client_releases;
+mod client_shares;
 mod connection_needs;
 mod connections;
 mod ended;
@@ -26,6 +27,7 @@
 use crate::viewers::Outgoing;
 use bytes::Bytes;
 use client_releases::{ClientReleases, ViewerEvidence};
+use client_shares::{Charge, ClientShares};
 use connection_needs::{LossCause, Unheard};
 use ended::EndedSessions;
 use hand_overs::UnconfirmedHandOvers;
@@ -42,6 +44,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
+use tokio::sync::OwnedSemaphorePermit;
 use untracked_ends::{UntrackedEnd, UntrackedEnds};
 
 /// Subtracted from the time that a viewer waits, so that the final answer arrives before the viewer gives up.
@@ -189,6 +192,8 @@
     read_delay: Span,
     /// Set if it is owed an answer, which a hand-over is not.
     reply: Option<PendingReply>,
+    /// The memory that it holds until it is decided, if it is long.
+    _memory: Option<OwnedSemaphorePermit>,
 }
 
 /// A request that is not answered finally yet, or a session that plays.
@@ -220,6 +225,8 @@
     /// The connection on which its streamer spoke of it last. It leads to the process that the session plays in for as
     /// long as it is up; what is dialled later at the same address may be another process.
     heard_on: Option<Connection>,
+    /// What it takes of the share of its client's connection.
+    charge: Charge,
 }
 
 impl TrackedSession {
@@ -249,6 +256,7 @@
             playing_since: None,
             control_connection: None,
             heard_on: None,
+            charge: Charge::default(),
         }
     }
 
@@ -380,6 +388,7 @@
     viewer_connections: BTreeMap<u64, ViewerConnection>,
     timers: BinaryHeap<Reverse<(Point, u32, u32)>>,
     client_releases: ClientReleases,
+    client_shares: ClientShares,
     next_tick_at: Option<Point>,
     links_checked_at: Point,
     random: StdRng,
@@ -433,6 +442,7 @@
             viewer_connections: BTreeMap::new(),
             timers: BinaryHeap::new(),
             client_releases: ClientReleases::default(),
+            client_shares: ClientShares::default(),
             next_tick_at: None,
             links_checked_at: now,
             random: StdRng::seed_from_u64(seed),
--- a/crates/lemontide-platform/src/dispatcher/attempts.rs
+++ b/crates/lemontide-platform/src/dispatcher/attempts.rs
@@ -89,8 +89,9 @@
         let tracked = self.sessions.remove(&id)?;
         self.id_by_session.remove(&tracked.session);
         self.unconfirmed_hand_overs.remove(id);
+        self.client_shares.remove(tracked.connection_id, tracked.charge);
         if tracked.has_begun() {
-            self.ended.insert(now, tracked.session);
+            self.ended.insert(now, tracked.session, tracked.connection_id);
         }
         if tracked.playing_since.is_none() {
             if let Some(viewer_connection) = self.viewer_connections.get_mut(&tracked.connection_id) {
@@ -114,6 +115,7 @@
         }
         tracked.playing_since = Some(now);
         tracked.set_up.drop_payload();
+        self.client_shares.return_request(tracked.connection_id, &mut tracked.charge);
         let (handle, connection_id, session, reply) =
             (tracked.handle, tracked.connection_id, tracked.session, tracked.reply.take());
         tracing::debug!(target: "decision", session = format!("{session:016x}"), streamer = &*tracked.streamer, answered = true);
--- a/crates/lemontide-platform/src/dispatcher/hand_overs.rs
+++ b/crates/lemontide-platform/src/dispatcher/hand_overs.rs
@@ -78,7 +78,7 @@
             self.release_claimed_at_streamer(now, &streamer, session);
             return self.refuse_hand_over(now, of, cause::FAILED);
         }
-        if !self.has_room_for_hand_over(&streamer) {
+        if !self.has_room_for_hand_over(connection_id, &streamer) {
             tracing::debug!(target: "viewers", session = format!("{session:016x}"), conn = connection_id, "no room for a hand-over");
             return self.refuse_hand_over(now, of, cause::FAILED);
         }
@@ -89,15 +89,16 @@
         set_up.drop_payload();
         let tracked = TrackedSession::new((connection_id, session), handle, None, set_up, (read.0, deadline));
         self.unconfirmed_hand_overs.insert(id, streamer.clone());
+        self.client_shares.add(connection_id, tracked.charge);
         self.sessions.insert(id, TrackedSession { streamer, playing_since: Some(now), ..tracked });
         self.id_by_session.insert(session, id);
         self.apply_actions(now);
     }
 
-    fn has_room_for_hand_over(&self, streamer: &str) -> bool {
+    fn has_room_for_hand_over(&self, connection_id: u64, streamer: &str) -> bool {
         let unconfirmed = &self.unconfirmed_hand_overs;
         unconfirmed.count() < self.settings.max_tracked / UNCONFIRMED_DIVISOR
-            && self.sessions.len() < self.settings.max_tracked
+            && self.client_shares.has_room(connection_id, Charge::default(), self.free_session_count())
             && self.controller.can_adopt(streamer, unconfirmed.count_at(streamer))
     }
 
--- a/crates/lemontide-platform/src/dispatcher/unanswered.rs
+++ b/crates/lemontide-platform/src/dispatcher/unanswered.rs
@@ -39,6 +39,13 @@
         self.apply_actions(now);
     }
 
+    /// Handles the closes of clients that their connections have noted: the messages before them may still wait.
+    pub fn end_closed_inputs(&mut self, now: Point) {
+        for connection_id in self.replies.take_closed_inputs() {
+            self.on_input_end(now, connection_id, InputEnd::HalfClosed);
+        }
+    }
+
     /// Takes the undecided requests of a connection and returns their replies. Hand-overs on it stay: their sessions
     /// are established, and they are owed no answer.
     pub(super) fn take_undecided_on(&mut self, connection_id: u64) -> Vec<PendingReply> {
--- a/crates/lemontide-platform/src/dispatcher/viewers.rs
+++ b/crates/lemontide-platform/src/dispatcher/viewers.rs
@@ -102,7 +102,7 @@
     /// counts: a set-up whose viewer leaves or cancels in the same moment is not sent to a streamer, and messages of
     /// streamers are passed on before.
     pub fn on_viewer_message(&mut self, now: Point, received: ReceivedMessage) {
-        let ReceivedMessage { conn: connection_id, message, read_at, reply } = received;
+        let ReceivedMessage { conn: connection_id, message, read_at, reply, memory } = received;
         let Some(viewer_connection) = self.viewer_connections.get_mut(&connection_id) else {
             reply.into_iter().for_each(|reply| reply.client_gone(Departure::Closed));
             return;
@@ -124,6 +124,14 @@
                 if matches!(&body, Body::SetUp(set_up) if set_up.plays_at().is_none()) {
                     tracing::trace!(target: "request", session = format!("{session:016x}"), conn = connection_id, "read");
                 }
+                let in_hand = viewer_connection.unanswered + viewer_connection.undecided;
+                let reply = match reply {
+                    Some(reply) if in_hand >= MAX_UNANSWERED_PER_CONNECTION && !self.is_known(session) => {
+                        return self.reject(reply);
+                    }
+                    reply => reply,
+                };
+                let Some(viewer_connection) = self.viewer_connections.get_mut(&connection_id) else { return };
                 viewer_connection.undecided += 1;
                 self.undecided.push_back(UndecidedSetUp {
                     connection_id,
@@ -132,6 +140,7 @@
                     read_at,
                     read_delay: self.read_delay,
                     reply,
+                    _memory: memory,
                 });
                 return;
             }
@@ -181,7 +190,8 @@
 
     /// Decides the first undecided set-up; false if there is none.
     pub fn decide_next(&mut self, now: Point) -> bool {
-        let Some(UndecidedSetUp { connection_id, session, body, read_at, read_delay, reply }) =
+        self.end_closed_inputs(now);
+        let Some(UndecidedSetUp { connection_id, session, body, read_at, read_delay, reply, _memory }) =
             self.undecided.pop_front()
         else {
             return false;
@@ -331,6 +341,23 @@
         why
     }
 
+    /// Whether a request or session with this number is tracked or waits for its decision.
+    fn is_known(&self, session: u64) -> bool {
+        self.id_by_session.contains_key(&session)
+            || self.undecided.iter().any(|waiting| waiting.session == session)
+    }
+
+    /// Rejects a request for which there is no room: its client can repeat it.
+    fn reject(&mut self, reply: PendingReply) {
+        self.remember_rejected(reply.conn(), reply.session());
+        self.answer(reply, rejection(self.controller.retry_after()), None);
+    }
+
+    /// Number of free places for requests and sessions.
+    pub(super) fn free_session_count(&self) -> usize {
+        self.settings.max_tracked.saturating_sub(self.sessions.len())
+    }
+
     /// Handles a new request.
     fn handle_request(&mut self, now: Point, reply: PendingReply, set_up: SetUp, read: (Point, Span)) {
         let (connection_id, session) = (reply.conn(), reply.session());
@@ -356,9 +383,11 @@
             viewer_connection.unanswered >= MAX_UNANSWERED_PER_CONNECTION || viewer_connection.is_draining
         });
         let is_stopping = self.stopping_since.is_some_and(|since| now - since > STOP_GRACE);
-        if is_stopping || crowded || self.sessions.len() >= self.settings.max_tracked {
-            self.remember_rejected(connection_id, session);
-            return self.answer(reply, rejection(self.controller.retry_after()), None);
+        let charge = Charge::of_request(set_up.payload_bytes());
+        let has_room = self.client_shares.has_room(connection_id, charge, self.free_session_count())
+            && self.ended.has_room(connection_id);
+        if is_stopping || crowded || !has_room {
+            return self.reject(reply);
         }
         let id = self.next_id();
         let request = self.build_request(id, &set_up, read);
@@ -367,7 +396,8 @@
         let handle = self.controller.submit(now, &request);
         let tracked =
             TrackedSession::new((connection_id, session), handle, Some(reply), set_up, (read.0, deadline));
-        self.sessions.insert(id, tracked);
+        self.client_shares.add(connection_id, charge);
+        self.sessions.insert(id, TrackedSession { charge, ..tracked });
         self.id_by_session.insert(session, id);
         if let Some(viewer_connection) = self.viewer_connections.get_mut(&connection_id) {
             viewer_connection.unanswered += 1;
--- a/crates/lemontide-platform/src/lib.rs
+++ b/crates/lemontide-platform/src/lib.rs
@@ -12,7 +12,7 @@
 mod log_values;
 mod outbox;
 pub mod permit;
-mod reader;
+pub mod reader;
 pub mod replies;
 pub mod serve;
 pub mod steps;
--- a/crates/lemontide-platform/src/outbox.rs
+++ b/crates/lemontide-platform/src/outbox.rs
@@ -16,6 +16,8 @@
 
 /// A client that is alive reads a message within this time.
 const CLIENT_READ_TIME: Duration = Duration::from_millis(250);
+/// Buffer space for writing at the start, enough for some answers; it grows for longer ones.
+const WRITE_BUFFER_BYTES: usize = 512;
 /// How many written messages are remembered.
 const MAX_REMEMBERED_MESSAGES: usize = 1024;
 
@@ -36,7 +38,7 @@
     pub(crate) fn new(clock: Clock, socket: OwnedWriteHalf) -> Outbox {
         Outbox {
             clock,
-            socket: FramedWrite::new(socket, Codec),
+            socket: FramedWrite::with_capacity(socket, Codec, WRITE_BUFFER_BYTES),
             waiting: VecDeque::new(),
             writing: Vec::new(),
             written: VecDeque::new(),
--- a/crates/lemontide-platform/src/reader.rs
+++ b/crates/lemontide-platform/src/reader.rs
@@ -3,16 +3,36 @@
 
 use crate::codec::{Codec, Message};
 use bytes::BytesMut;
+use futures::FutureExt;
+use std::future::Future;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant};
 use tokio_util::codec::Decoder;
 
 /// Buffer space for one read, enough for some messages of the usual size; the buffer grows for a longer message.
 const MIN_READ_BUFFER_BYTES: usize = 2048;
 
+/// A message of up to this size is read without asking for memory.
+const SMALL_MESSAGE_BYTES: usize = 2048;
+/// Maximum size of all longer messages of clients, from their reading until they are decided.
+const MAX_LARGE_MESSAGES_BYTES: usize = 4 * 1024 * 1024;
+
+/// The memory for long messages, which the connections of all clients share. Where there is none left, a long message
+/// waits and its connection is closed after the time for a message; short ones are not affected.
+#[derive(Clone, Debug)]
+pub struct ReadMemory(Arc<Semaphore>);
+
+impl Default for ReadMemory {
+    fn default() -> ReadMemory {
+        ReadMemory(Arc::new(Semaphore::new(MAX_LARGE_MESSAGES_BYTES)))
+    }
+}
+
 /// Reads the messages of one connection.
 pub struct MessageReader {
     socket: OwnedReadHalf,
@@ -24,6 +44,9 @@
     message_timeout: Duration,
     /// Since when `bytes` has held an incomplete message.
     incomplete_since: Option<Instant>,
+    /// The memory that long messages need, and the part of it that the message that is being read holds.
+    memory: Option<ReadMemory>,
+    held_memory: Option<OwnedSemaphorePermit>,
 }
 
 impl MessageReader {
@@ -35,9 +58,32 @@
             is_closed_by_peer: false,
             message_timeout,
             incomplete_since: None,
+            memory: None,
+            held_memory: None,
         }
     }
 
+    /// Long messages need a part of this memory.
+    pub fn with_memory(mut self, memory: ReadMemory) -> MessageReader {
+        self.memory = Some(memory);
+        self
+    }
+
+    /// The memory that the last message needed. It is free again once the result is dropped.
+    pub fn take_memory(&mut self) -> Option<OwnedSemaphorePermit> {
+        self.held_memory.take()
+    }
+
+    /// Waits for the memory that the message that is being read needs, if it is long.
+    async fn acquire_memory(&mut self) {
+        let Some(memory) = self.memory.as_ref().filter(|_| self.held_memory.is_none()) else { return };
+        let Some(length) = Codec::message_length(&self.bytes).filter(|length| *length > SMALL_MESSAGE_BYTES)
+        else {
+            return;
+        };
+        self.held_memory = memory.0.clone().acquire_many_owned(length as u32).await.ok();
+    }
+
     /// The next message. An error if the connection has ended, its bytes can't be decoded, a message stays
     /// incomplete, or nothing is received by the deadline. A connection without a deadline sets no timer: with
     /// hundreds of connections, the timers' wake-ups would need more of a small share of a core than the messages.
@@ -62,6 +108,9 @@
                 None
             };
             let until = message_deadline.into_iter().chain(deadline).min();
+            if until_deadline(until, self.acquire_memory()).await.is_none() {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "no memory for a long message in time"));
+            }
             if self.bytes.capacity() == self.bytes.len() {
                 self.bytes.reserve(MIN_READ_BUFFER_BYTES);
             }
@@ -99,6 +148,12 @@
         !self.bytes.is_empty()
     }
 
+    /// Whether the other end has closed its half, though there may be messages of it that are not read yet.
+    pub fn has_peer_closed(&self) -> bool {
+        let ready = self.socket.ready(Interest::READABLE).now_or_never();
+        ready.and_then(Result::ok).is_some_and(|ready| ready.is_read_closed())
+    }
+
     /// Whether the other end closed or reset the connection.
     pub fn is_closed_by_peer(&self) -> bool {
         self.is_closed_by_peer
@@ -122,3 +177,11 @@
         }
     }
 }
+
+/// The output of a future, or none if it is not ready by then.
+async fn until_deadline<T>(until: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    match until {
+        None => Some(future.await),
+        Some(until) => timeout_at(until, future).await.ok(),
+    }
+}
--- a/crates/lemontide-platform/src/replies.rs
+++ b/crates/lemontide-platform/src/replies.rs
@@ -6,8 +6,9 @@
 
 use crate::codec::{Body, Message};
 use lemontide::clock::{Point, Span};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::OwnedSemaphorePermit;
 
 /// A request that can't be used states no time of its own and is answered within this.
 const UNUSABLE_ANSWER_TIMEOUT: Span = Span::of_millis(1000);
@@ -45,6 +46,8 @@
     last_number: u64,
     open: BTreeMap<u64, OpenRequest>,
     open_count_by_connection: HashMap<u64, usize>,
+    /// Connections whose client has closed them, that the dispatcher does not know of yet.
+    closed_inputs: BTreeSet<u64>,
 }
 
 /// All open requests of a process. Clones share them.
@@ -61,6 +64,8 @@
     pub read_at: Point,
     /// Set if it is a request.
     pub reply: Option<PendingReply>,
+    /// The memory that it holds until it is decided, if it is long.
+    pub memory: Option<OwnedSemaphorePermit>,
 }
 
 /// The duty to answer one request. It ends with `answered` or `client_gone`.
@@ -101,7 +106,7 @@
         };
         let reply = is_request(&message.body)
             .then(|| self.open_reply(connection_id, message.session, read_at + timeout));
-        ReceivedMessage { conn: connection_id, message, read_at, reply }
+        ReceivedMessage { conn: connection_id, message, read_at, reply, memory: None }
     }
 
     fn open_reply(&self, connection_id: u64, session: u64, answer_due: Point) -> PendingReply {
@@ -142,6 +147,17 @@
             .map(|request| request.session)
     }
 
+    /// The client of a connection has closed it, though messages that it sent before may not be handled yet. The
+    /// dispatcher has to know at once: none of these is sent on.
+    pub fn note_closed_input(&self, connection_id: u64) {
+        self.lock().closed_inputs.insert(connection_id);
+    }
+
+    /// The connections that were closed since the last call.
+    pub fn take_closed_inputs(&self) -> BTreeSet<u64> {
+        std::mem::take(&mut self.lock().closed_inputs)
+    }
+
     /// Connection and session of each request that was not answered by its deadline. Each is returned once.
     pub fn take_overdue(&self, now: Point) -> Vec<(u64, u64)> {
         let mut requests = self.lock();
--- a/crates/lemontide-platform/src/serve.rs
+++ b/crates/lemontide-platform/src/serve.rs
@@ -4,6 +4,7 @@
 
 use crate::config::{Config, Environment, ListUpdate};
 use crate::dispatcher::{Dispatcher, DispatcherSettings, Effect, OutboundMessage};
+use crate::reader::ReadMemory;
 use crate::replies::Departure;
 use crate::streamers::Close;
 use crate::viewers::{Command, Outgoing};
@@ -57,6 +58,8 @@
 /// A timer that fires this late shows that the process was stalled; it first reads what its sockets hold. The timer
 /// fires ten times a second, so that every stall that matters is noticed.
 const STALL_THRESHOLD: Span = Span::of_millis(5);
+/// How often clients' messages are read again after a stall before any is decided.
+const MAX_READS_AFTER_STALL: u32 = 32;
 /// Pause after an accept that found no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// A configuration that can't be read is read again after this time. Guards against a file that is being written when
@@ -129,6 +132,7 @@
     streamers: HashMap<Connection, StreamerConnection>,
     viewer_reports: mpsc::Sender<viewers::Report>,
     streamer_reports: mpsc::Sender<streamers::Report>,
+    read_memory: ReadMemory,
 }
 
 impl Sockets {
@@ -217,6 +221,34 @@
         }
     }
 
+    /// Handles what clients sent while this process did not run, as far as there is room, before any of it is decided.
+    /// A client may have left meanwhile: where its socket is full, its close is received only behind what it sent.
+    async fn read_after_stall(
+        &mut self,
+        now: Point,
+        dispatcher: &mut Dispatcher,
+        first: Option<viewers::Report>,
+        reports: &mut mpsc::Receiver<viewers::Report>,
+    ) {
+        let mut next = first;
+        for _ in 0..MAX_READS_AFTER_STALL {
+            let mut is_empty = true;
+            while dispatcher.undecided_count() < MAX_REPORTS_PER_TURN {
+                let Some(report) = next.take().or_else(|| reports.try_recv().ok()) else { break };
+                self.handle_viewer_report(now, dispatcher, report);
+                is_empty = false;
+            }
+            dispatcher.end_closed_inputs(now);
+            if is_empty {
+                break;
+            }
+            tokio::task::yield_now().await;
+        }
+        if let Some(report) = next {
+            self.handle_viewer_report(now, dispatcher, report);
+        }
+    }
+
     fn start_viewer(
         &mut self,
         now: Point,
@@ -235,6 +267,7 @@
             command_receiver,
             reports,
             replies,
+            self.read_memory.clone(),
         ));
     }
 
@@ -305,6 +338,7 @@
         streamers: HashMap::new(),
         viewer_reports,
         streamer_reports,
+        read_memory: ReadMemory::default(),
     };
     let mut dispatcher = Dispatcher::new(now(), config.seed(), &controller_settings, settings);
     for event in &config.known.events {
@@ -376,6 +410,10 @@
             tokio::task::yield_now().await;
         }
         dispatcher.set_read_delay(stall.unwrap_or(Span::ZERO));
+        if stall.is_some() {
+            let first = viewer_report.take();
+            sockets.read_after_stall(now(), &mut dispatcher, first, &mut viewer_report_receiver).await;
+        }
         let mut is_passed_on = false;
         // Each source has its share of every turn, so that a flood from one delays none of the others. Viewers are
         // served first, as a viewer that leaves ends a request that would otherwise be sent on. The timer is served
--- a/crates/lemontide-platform/src/viewers.rs
+++ b/crates/lemontide-platform/src/viewers.rs
@@ -5,7 +5,7 @@
 use crate::codec::{Body, Message};
 use crate::dispatcher::InputEnd;
 use crate::outbox::Outbox;
-use crate::reader::MessageReader;
+use crate::reader::{MessageReader, ReadMemory};
 use crate::replies::{Departure, PendingReply, ReceivedMessage, Replies};
 use crate::steps::Steps;
 use futures::FutureExt;
@@ -30,6 +30,8 @@
 const READ_AFTER_CLOSE: Duration = Duration::from_millis(50);
 /// Time within which the reset arrives for bytes that were written to a connection that the other end had closed.
 const RESET_TIMEOUT: Duration = Duration::from_millis(20);
+/// How often a client is checked for its close while its messages wait to be handled.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// How often a draining connection is checked for a reset by its client and for open requests.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -177,6 +179,25 @@
     }
 }
 
+/// Waits until a message can be reported. A client that has closed the connection by then is noted before the message
+/// is: it waits for no answer, and what it sent is not sent on.
+async fn reserve_report<'a>(
+    connection_id: u64,
+    replies: &Replies,
+    reader: &MessageReader,
+    reports: &'a mpsc::Sender<Report>,
+) -> Option<mpsc::Permit<'a, Report>> {
+    loop {
+        let permit = timeout(CLOSE_CHECK_INTERVAL, reports.reserve()).await;
+        if reader.has_peer_closed() {
+            replies.note_closed_input(connection_id);
+        }
+        if let Ok(permit) = permit {
+            return permit.ok();
+        }
+    }
+}
+
 /// Reads a client's messages and reports them, until nothing more is to be read.
 async fn read_all(
     clock: Clock,
@@ -213,10 +234,12 @@
             Ok(message) => {
                 deadline = None;
                 received += 1;
-                let received = replies.register(connection_id, message, Point::at(clock.now()));
-                if reports.send(Report::Received(Box::new(received))).await.is_err() {
+                let Some(permit) = reserve_report(connection_id, replies, reader, reports).await else {
                     return ConnectionEnd::ByController;
-                }
+                };
+                let mut received = replies.register(connection_id, message, Point::at(clock.now()));
+                received.memory = reader.take_memory();
+                permit.send(Report::Received(Box::new(received)));
             }
             Err(e) => {
                 tracing::debug!(
@@ -244,18 +267,22 @@
     commands: mpsc::Receiver<Command>,
     reports: mpsc::Sender<Report>,
     replies: Replies,
+    memory: ReadMemory,
 ) {
     // Answers are small and urgent.
     let _ = socket.set_nodelay(true);
     let (read_half, write_half) = socket.into_split();
     let outbox = Outbox::new(clock, write_half);
     let mut connection = ClientConnection { connection_id, outbox, commands, replies: replies.clone() };
-    let mut reader = MessageReader::new(read_half, MESSAGE_TIMEOUT);
+    let mut reader = MessageReader::new(read_half, MESSAGE_TIMEOUT).with_memory(memory);
     let control = ReaderControl::default();
     let mut end = tokio::select! {
         end = connection.write_commands(&control) => end,
         end = read_all(clock, connection_id, &replies, &mut reader, &control, &reports) => end,
     };
+    if matches!(end, ConnectionEnd::ByClient { .. } | ConnectionEnd::Input(InputEnd::HalfClosed)) {
+        replies.note_closed_input(connection_id);
+    }
     if let ConnectionEnd::Input(reason) = end {
         end = match (connection.owes_nothing(), reason) {
             (false, _) => {
--- a/crates/lemontide-platform/tests/unread.rs
+++ b/crates/lemontide-platform/tests/unread.rs
@@ -1,6 +1,7 @@
 //! Messages that a viewer connection returns if its client closes it without reading them.
 
 use lemontide_platform::codec::{cause, Body, Message};
+use lemontide_platform::reader::ReadMemory;
 use lemontide_platform::replies::Replies;
 use lemontide_platform::viewers::{run, Command, Outgoing, Report};
 use lemontide_wire::clock::Clock;
@@ -53,7 +54,15 @@
         let (reports, reported) = mpsc::channel(4);
         drop(theirs);
         commands.send(Command::Send(Box::new(release(session)))).await.expect("the connection takes it");
-        tokio::spawn(run(Clock::start(), 1, ours, receiver, reports, Replies::default()));
+        tokio::spawn(run(
+            Clock::start(),
+            1,
+            ours,
+            receiver,
+            reports,
+            Replies::default(),
+            ReadMemory::default(),
+        ));
         assert_eq!(returned_sessions(reported).await, [session]);
     }
 }
@@ -65,7 +74,15 @@
         let (ours, mut theirs) = connected().await;
         let (commands, receiver) = mpsc::channel(4);
         let (reports, reported) = mpsc::channel(4);
-        tokio::spawn(run(Clock::start(), 1, ours, receiver, reports, Replies::default()));
+        tokio::spawn(run(
+            Clock::start(),
+            1,
+            ours,
+            receiver,
+            reports,
+            Replies::default(),
+            ReadMemory::default(),
+        ));
         commands.send(Command::Send(Box::new(release(session)))).await.expect("the connection takes it");
         let mut buffer = [0; 64];
         let read = tokio::time::timeout(Duration::from_secs(1), theirs.read(&mut buffer)).await;
