--- a/crates/lemontide-standin/src/soak/stub_server.rs
+++ b/crates/lemontide-standin/src/soak/stub_server.rs
@@ -170,10 +170,11 @@
         }
         state.mode = mode;
         drop(state);
+        // The mode first: a connection that is accepted with the new generation belongs to the next process.
+        self.mode.send_replace(mode);
         if mode == Mode::Dead {
             self.process_generation.send_modify(|generation| *generation += 1);
         }
-        self.mode.send_replace(mode);
     }
 
     /// The process ends, and another server is at the address from that moment on.
--- a/crates/lemontide-standin/src/soak/stub_server/connection.rs
+++ b/crates/lemontide-standin/src/soak/stub_server/connection.rs
@@ -27,9 +27,14 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
-                    if let Ok((socket, _)) = accepted {
-                        tokio::spawn(serve(server.clone(), node, socket));
+                    let Ok((socket, _)) = accepted else { continue };
+                    let generation = server.process_generation.subscribe();
+                    if *server.mode.borrow() == Mode::Dead {
+                        // The process has died, though this task has not noticed: nobody serves the connection.
+                        let _ = socket.set_zero_linger();
+                        break;
                     }
+                    tokio::spawn(serve(server.clone(), node, socket, generation));
                 }
                 _ = mode.wait_for(|mode| *mode == Mode::Dead) => break,
             }
@@ -50,8 +55,13 @@
     None
 }
 
-/// Runs one connection until either end closes it, or the process ends.
-async fn serve(server: Arc<StubServer>, node: usize, socket: TcpStream) {
+/// Runs one connection until either end closes it, or the process that accepted it ends.
+async fn serve(
+    server: Arc<StubServer>,
+    node: usize,
+    socket: TcpStream,
+    mut process_generation: watch::Receiver<u64>,
+) {
     let _ = socket.set_nodelay(true);
     let probabilities = &server.plan.probabilities;
     let number = {
@@ -88,15 +98,13 @@
     }
     let (incoming, delivered) = mpsc::unbounded_channel();
     let (read, write) = socket.into_split();
-    let mut process_generation = server.process_generation.subscribe();
-    let own_generation = *process_generation.borrow_and_update();
     let mut writer = Writer { server: server.clone(), connection, socket: write, writes_fragments };
     let reset = tokio::select! {
         reset = writer.run(outgoing_messages) => reset,
         () = read_all(&server, node, read, incoming, |now: f64| now.max(ready_at) + delay_s) => true,
         () = deliver(&server, node, connection, delivered) => false,
         () = close_at(&server, closes_at) => fraction(6) < 0.5,
-        _ = process_generation.wait_for(|generation| *generation != own_generation) => true,
+        _ = process_generation.changed() => true,
     };
     server.remove_connection(connection, AttemptEnd::ConnectionClosed);
     server.repeat_unread_releases(connection);
