--- a/crates/lemontide-cli/tests/soak.rs
+++ b/crates/lemontide-cli/tests/soak.rs
@@ -92,3 +92,8 @@
 fn no_rule_is_broken_on_seed_11() {
     check_seeds(&[(11, 1)]);
 }
+
+#[test]
+fn no_rule_is_broken_on_seed_770003() {
+    check_seeds(&[(770_003, 1)]);
+}
